--- /dev/null
+++ b/packages/cli/mimosaridge_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators, analysts and callers."""
--- /dev/null
+++ b/packages/core/mimosaridge_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic of mimosaridge: no I/O, no clock, no hidden randomness."""
--- /dev/null
+++ b/packages/core/mimosaridge_core/codes.py
@@ -0,0 +1,83 @@
+"""Numbered result codes; docs/RESULT-CODES.md is checked against them."""
+
+import enum
+
+
+class Code(enum.IntEnum):
+    """The outcome of a request, job, plan or decision."""
+
+    OK = 0
+    ACCEPTED = 1
+    NOT_RUN = 100
+    DEADLINE_PASSED = 101
+    OVERLOADED = 102
+    IMPOSSIBLE = 103
+    DRAINING = 104
+    CANCELLED = 105
+    UNKNOWN = 200
+    TASK_FAILED = 201
+    BAD_INPUT = 300
+    TOO_LARGE = 301
+    BAD_KEY = 302
+    WRONG_TEAM = 303
+    NOT_ALLOWED = 304
+    NOT_FOUND = 305
+    ID_EXPIRED = 306
+    CONFLICT = 400
+    PLAN_EXPIRED = 401
+    STORE_UNAVAILABLE = 402
+    STALE_EPOCH = 500
+    NO_ROOM = 501
+    WORKER_UNREACHABLE = 502
+
+
+MEANINGS: dict[Code, str] = {
+    Code.OK: "It was done.",
+    Code.ACCEPTED: "It was accepted and recorded; it will run.",
+    Code.NOT_RUN: "It did not run; it may be sent again.",
+    Code.DEADLINE_PASSED: (
+        "It did not run: its deadline passed before it could start; send it"
+        " again with a later deadline."
+    ),
+    Code.OVERLOADED: (
+        "It did not run: too much work is waiting; send it again later."
+    ),
+    Code.IMPOSSIBLE: (
+        "It did not run: no worker could ever hold it; ask for less."
+    ),
+    Code.DRAINING: (
+        "It did not run: this daemon is shutting down; send it to another."
+    ),
+    Code.CANCELLED: "It was cancelled by its team or an operator.",
+    Code.UNKNOWN: (
+        "It was sent to a worker and its fate can't be proved; check the"
+        " effect before sending it again."
+    ),
+    Code.TASK_FAILED: "It ran and failed; the detail carries the reason.",
+    Code.BAD_INPUT: "The input is malformed; the detail names each field.",
+    Code.TOO_LARGE: "The input is larger than this daemon takes.",
+    Code.BAD_KEY: "The key is missing, unknown or withdrawn.",
+    Code.WRONG_TEAM: "The key belongs to another team.",
+    Code.NOT_ALLOWED: "The key's role does not allow this.",
+    Code.NOT_FOUND: "There is no such thing.",
+    Code.ID_EXPIRED: (
+        "It did not run: its id is older than outcomes are kept; send it"
+        " under a new id."
+    ),
+    Code.CONFLICT: (
+        "Another change came first; ask for a new plan and confirm that."
+    ),
+    Code.PLAN_EXPIRED: "The plan has expired; ask for a new one.",
+    Code.STORE_UNAVAILABLE: (
+        "The platform's store does not answer; nothing was changed as far"
+        " as is known; ask for a new plan to see."
+    ),
+    Code.STALE_EPOCH: "A newer owner has claimed the worker.",
+    Code.NO_ROOM: "The worker has no room for it.",
+    Code.WORKER_UNREACHABLE: "The worker does not answer.",
+}
+
+
+def is_not_run(code: Code) -> bool:
+    """Tells whether the code promises that the work never ran."""
+    return 100 <= code < 200 or 300 <= code < 400
--- /dev/null
+++ b/packages/core/mimosaridge_core/documents.py
@@ -0,0 +1,100 @@
+"""Documents kept in the platform's key-value service, and their keys."""
+
+import dataclasses
+
+from mimosaridge_core import configuration
+from mimosaridge_core import works
+
+CONFIG_KEY = "config"
+DAEMONS = "daemons/"
+PARTITIONS = "partitions/"
+LEDGERS = "ledgers/"
+
+
+@dataclasses.dataclass(slots=True)
+class Daemon:
+    """A live daemon; the key goes with its store lease.
+
+    Attributes:
+        name: The daemon's name.
+        url: Where its peers reach it.
+        zone: Its availability zone.
+    """
+
+    name: str
+    url: str
+    zone: str
+
+
+@dataclasses.dataclass(slots=True)
+class Ownership:
+    """Who holds a partition; the key goes with the owner's store lease.
+
+    Attributes:
+        owner: Name of the owning daemon.
+    """
+
+    owner: str
+
+
+@dataclasses.dataclass(slots=True)
+class Assignment:
+    """Where one task of a piece of work was last sent.
+
+    Attributes:
+        attempt: The attempt that was sent.
+        shard: The shard that it was sent to; empty if none holds it.
+        outcome: What became of it, once settled.
+    """
+
+    attempt: int = 0
+    shard: str = ""
+    outcome: works.Outcome | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """One piece of accepted work and how far it has come.
+
+    Attributes:
+        work: The work as submitted.
+        assignments: One for each task, by index.
+        outcome: The outcome of the whole, once settled.
+        settled_at: When it was settled, seconds since the epoch.
+        cancelled: Whether its team or an operator cancelled it.
+    """
+
+    work: works.Work
+    assignments: list[Assignment]
+    outcome: works.Outcome | None = None
+    settled_at: float = 0.0
+    cancelled: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Ledger:
+    """All work that one bucket answers for.
+
+    Attributes:
+        writer: Daemon that wrote this version.
+        write_id: Names the write, to settle a lost answer by reading back.
+        entries: Entries by work id.
+    """
+
+    writer: str = ""
+    write_id: str = ""
+    entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
+
+
+KINDS: dict[str, type] = {
+    CONFIG_KEY: configuration.Config,
+    DAEMONS: Daemon,
+    PARTITIONS: Ownership,
+    LEDGERS: Ledger,
+}
+
+
+def kind_of(key: str) -> type | None:
+    """Returns the type of the document under a key, or None if unknown."""
+    prefix, slash, _ = key.partition("/")
+    return KINDS.get(prefix + slash)
--- /dev/null
+++ b/packages/core/mimosaridge_core/ingress.py
@@ -0,0 +1,174 @@
+"""Callers' work: checked here, forwarded to its home, answered from there."""
+
+import uuid
+
+from mimosaridge_core import account
+from mimosaridge_core import codes
+from mimosaridge_core import dispatch
+from mimosaridge_core import effects
+from mimosaridge_core import events
+from mimosaridge_core import homes
+from mimosaridge_core import keys
+from mimosaridge_core import messages
+from mimosaridge_core import state
+from mimosaridge_core import works
+
+MOST_TASKS = 10_000
+
+
+def _admit(
+    st: state.State, event: events.WorkSubmitted
+) -> works.Outcome | None:
+    """Returns a refusal, or None if the work may be taken."""
+    if st.draining:
+        return works.Outcome(codes.Code.DRAINING)
+    refusal = _check_key(st, event)
+    if refusal is not None:
+        return refusal
+    if event.work.team not in st.config.teams:
+        detail = f"There is no team {event.work.team!r}."
+        return works.Outcome(codes.Code.WRONG_TEAM, detail)
+    if event.work.start_before <= st.now:
+        return works.Outcome(codes.Code.DEADLINE_PASSED)
+    return _check_id(st, event.work)
+
+
+def _check_key(
+    st: state.State, event: events.WorkSubmitted
+) -> works.Outcome | None:
+    queue = st.config.queues.get(event.queue)
+    if queue is not None:
+        event.work.team = queue.team
+        return None
+    if event.queue:
+        detail = f"Queue {event.queue!r} is not open to all."
+        return works.Outcome(codes.Code.WRONG_TEAM, detail)
+    holder = keys.verify(st.config, event.token)
+    if holder is None:
+        return works.Outcome(codes.Code.BAD_KEY)
+    if holder.role != keys.TEAM or holder.team != event.work.team:
+        detail = f"The key is not one of team {event.work.team}."
+        return works.Outcome(codes.Code.WRONG_TEAM, detail)
+    return None
+
+
+def _check_id(st: state.State, work: works.Work) -> works.Outcome | None:
+    made_at = (uuid.UUID(work.work_id).int >> 80) / 1000
+    if made_at < st.now - st.tuning.retention_s:
+        return works.Outcome(codes.Code.ID_EXPIRED)
+    if made_at > st.now + st.tuning.skew_s:
+        detail = "The id carries a time that has not come yet."
+        return works.Outcome(codes.Code.BAD_INPUT, detail)
+    return None
+
+
+@dispatch.handles(events.WorkSubmitted)
+def _submitted(st: state.State, event: events.WorkSubmitted, out: list) -> None:
+    work = event.work
+    refusal = _admit(st, event)
+    if refusal is not None:
+        meaning = refusal.detail or codes.MEANINGS[refusal.code]
+        text = f"RefusedError at {st.name}: {meaning}"
+        state.note(
+            st,
+            out,
+            account.Rule.ADMISSION,
+            text,
+            work.work_id,
+            code=refusal.code,
+        )
+        out.append(effects.Reply(event.handle, refusal.code, meaning))
+        return
+    state.note(
+        st,
+        out,
+        account.Rule.ADMISSION,
+        f"{st.name} took {work.kind} work of {work.count} tasks"
+        f" for team {work.team}.",
+        work.work_id,
+    )
+    waiter = st.waiters.get(work.work_id)
+    if waiter is None:
+        home = homes.home_of(st, work)
+        waiter = state.Waiter(work, home, {}, 0.0)
+        st.waiters[work.work_id] = waiter
+    waiter.handles[event.handle] = event.wait
+    _forward(st, waiter, out)
+
+
+def _forward(st: state.State, waiter: state.Waiter, out: list) -> None:
+    waiter.resend_at = st.now + st.tuning.resend_s
+    if waiter.home == st.name:
+        homes.accept(st, waiter.work, st.name, out)
+        return
+    owner = homes.owner_of(st, waiter.home)
+    if owner:
+        forward = messages.ForwardWork(waiter.work)
+        out.append(effects.SendPeer(owner, forward))
+
+
+@dispatch.receives(messages.WorkAccepted)
+def _accepted(
+    st: state.State, sender: str, message: messages.WorkAccepted, out: list
+) -> None:
+    waiter = st.waiters.get(message.work_id)
+    if waiter is None:
+        return
+    waiter.accepted = True
+    for handle, waits in list(waiter.handles.items()):
+        if not waits:
+            del waiter.handles[handle]
+            out.append(effects.Reply(handle, codes.Code.ACCEPTED))
+    if not waiter.handles:
+        del st.waiters[message.work_id]
+
+
+@dispatch.receives(messages.WorkSettled)
+def _settled(
+    st: state.State, sender: str, message: messages.WorkSettled, out: list
+) -> None:
+    waiter = st.waiters.pop(message.work_id, None)
+    if waiter is None:
+        return
+    outcome = message.outcome
+    for handle in waiter.handles:
+        out.append(effects.Reply(handle, outcome.code, outcome.detail, outcome))
+
+
+@dispatch.handles(events.CallerGone)
+def _gone(st: state.State, event: events.CallerGone, out: list) -> None:
+    for work_id, waiter in list(st.waiters.items()):
+        if waiter.handles.pop(event.handle, None) is None:
+            continue
+        if not waiter.handles:
+            del st.waiters[work_id]
+
+
+@dispatch.every_tick
+def _resend(st: state.State, out: list) -> None:
+    for waiter in list(st.waiters.values()):
+        if waiter.resend_at > st.now:
+            continue
+        work = waiter.work
+        if work.start_before <= st.now and not waiter.accepted:
+            _ask_or_give_up(st, waiter, out)
+        else:
+            _forward(st, waiter, out)
+
+
+def _ask_or_give_up(st: state.State, waiter: state.Waiter, out: list) -> None:
+    """Keeps asking the home past the deadline: it may have started the work."""
+    _forward(st, waiter, out)
+
+
+@dispatch.handles(events.WorkQueried)
+def _queried(st: state.State, event: events.WorkQueried, out: list) -> None:
+    holder = keys.verify(st.config, event.token)
+    if holder is None:
+        out.append(effects.Reply(event.handle, codes.Code.BAD_KEY))
+        return
+    owner = homes.owner_of(st, homes.bucket_of(st, event.work_id))
+    if event.cancel and owner:
+        cancel = messages.CancelWork(event.work_id)
+        out.append(effects.SendPeer(owner, cancel))
+    out.append(effects.Reply(event.handle, codes.Code.ACCEPTED))
--- /dev/null
+++ b/packages/core/mimosaridge_core/membership.py
@@ -0,0 +1,199 @@
+"""Which daemons are there, and which configuration is in force."""
+
+from mimosaridge_core import account
+from mimosaridge_core import configuration
+from mimosaridge_core import dispatch
+from mimosaridge_core import documents
+from mimosaridge_core import effects
+from mimosaridge_core import events
+from mimosaridge_core import messages
+from mimosaridge_core import resources
+from mimosaridge_core import state
+from mimosaridge_core import summaries
+
+FORGET_AFTER_TIMEOUTS = 10
+
+
+def live_members(st: state.State) -> tuple[str, ...]:
+    """Returns the names of daemons that may hold partitions, sorted."""
+    names = [
+        member.name
+        for member in st.members.values()
+        if member.heard_until > st.now and not member.draining
+    ]
+    if not st.draining:
+        names.append(st.name)
+    return tuple(sorted(names))
+
+
+def _member(st: state.State, name: str, url: str, zone: str) -> state.Member:
+    member = st.members.get(name)
+    if member is None:
+        member = state.Member(name, url, zone, 0.0)
+        st.members[name] = member
+    member.url = url
+    member.zone = zone
+    return member
+
+
+@dispatch.handles(events.StoreHeard)
+def _store_heard(st: state.State, event: events.StoreHeard, out: list) -> None:
+    st.store_heard_at = st.now
+
+
+@dispatch.handles(events.StoreListed)
+def _listed(st: state.State, event: events.StoreListed, out: list) -> None:
+    st.store_heard_at = st.now
+    if event.prefix == documents.DAEMONS:
+        for member in st.members.values():
+            member.listed = False
+    if event.prefix == documents.PARTITIONS:
+        st.listed = True
+        st.views = {
+            name: view
+            for name, view in st.views.items()
+            if documents.PARTITIONS + name in event.values
+        }
+    for key, value in event.values.items():
+        changed = events.StoreChanged(
+            event.now, key, value, event.revisions[key]
+        )
+        _changed(st, changed, out)
+
+
+@dispatch.handles(events.StoreChanged)
+def _changed(st: state.State, event: events.StoreChanged, out: list) -> None:
+    st.store_heard_at = st.now
+    if event.key == documents.CONFIG_KEY:
+        if event.value is not None:
+            adopt(st, event.value, event.revision, out)
+    elif event.key.startswith(documents.DAEMONS):
+        _daemon_changed(st, event)
+    elif event.key.startswith(documents.PARTITIONS):
+        st.partitions_at = 0.0
+        OWNERSHIP_LISTENERS[0](st, event, out)
+
+
+OWNERSHIP_LISTENERS: list = []
+
+
+def _daemon_changed(st: state.State, event: events.StoreChanged) -> None:
+    name = event.key.removeprefix(documents.DAEMONS)
+    if name == st.name:
+        return
+    if event.value is None:
+        if name in st.members:
+            st.members[name].listed = False
+        return
+    member = _member(st, name, event.value.url, event.value.zone)
+    member.listed = True
+
+
+def adopt(
+    st: state.State,
+    config: configuration.Config,
+    revision: int,
+    out: list,
+) -> None:
+    """Puts a configuration in force unless it is older than the present."""
+    if config.number <= st.config.number:
+        return
+    st.config = config
+    st.config_revision = revision
+    state.note(
+        st,
+        out,
+        account.Rule.CONFIGURATION,
+        f"Configuration {config.number} is in force here.",
+    )
+    for listener in CONFIG_LISTENERS:
+        listener(st, out)
+
+
+CONFIG_LISTENERS: list = []
+
+
+@dispatch.handles(events.HostsListed)
+def _hosts(st: state.State, event: events.HostsListed, out: list) -> None:
+    st.hosts = {host.worker_id: host for host in event.hosts}
+    st.fleet = resources.total([host.capacity for host in event.hosts])
+    for listener in HOST_LISTENERS:
+        listener(st, out)
+
+
+HOST_LISTENERS: list = []
+
+
+@dispatch.receives(messages.Heartbeat)
+def _heartbeat(
+    st: state.State, sender: str, message: messages.Heartbeat, out: list
+) -> None:
+    if sender == st.name:
+        return
+    member = _member(st, sender, message.url, message.zone)
+    member.heard_until = st.now + st.tuning.member_timeout_s
+    member.draining = message.draining
+    member.config_number = message.config_number
+    member.epochs = message.epochs
+    member.summaries = {item.shard: item for item in message.summaries}
+    for partition, epoch in message.epochs.items():
+        known = st.views.get(partition)
+        if known is None or known.epoch < epoch:
+            st.views[partition] = state.View(sender, epoch)
+    if message.config_number > st.config.number:
+        out.append(effects.SendPeer(sender, messages.AskConfig()))
+
+
+@dispatch.receives(messages.AskConfig)
+def _ask_config(
+    st: state.State, sender: str, message: messages.AskConfig, out: list
+) -> None:
+    copy = messages.ConfigCopy(st.config, st.config_revision)
+    out.append(effects.SendPeer(sender, copy))
+
+
+@dispatch.receives(messages.ConfigCopy)
+def _config_copy(
+    st: state.State, sender: str, message: messages.ConfigCopy, out: list
+) -> None:
+    adopt(st, message.config, message.revision, out)
+
+
+@dispatch.every_tick
+def _beat(st: state.State, out: list) -> None:
+    if st.now < st.heartbeat_at:
+        return
+    st.heartbeat_at = st.now + st.tuning.heartbeat_s
+    _forget_gone(st)
+    heartbeat = messages.Heartbeat(
+        st.url,
+        st.zone,
+        st.config.number,
+        st.draining,
+        {name: shard.epoch for name, shard in st.shards.items()}
+        | {name: bucket.epoch for name, bucket in st.buckets.items()},
+        [summaries.summarize(st, shard) for shard in st.shards.values()],
+    )
+    for member in st.members.values():
+        out.append(effects.SendPeer(member.name, heartbeat))
+    live = live_members(st)
+    if live != st.live:
+        st.live = live
+        st.live_since = st.now
+        state.note(
+            st,
+            out,
+            account.Rule.MEMBERSHIP,
+            f"Live daemons are now {', '.join(live) or 'none'}.",
+        )
+
+
+def _forget_gone(st: state.State) -> None:
+    patience = FORGET_AFTER_TIMEOUTS * st.tuning.member_timeout_s
+    gone = [
+        member.name
+        for member in st.members.values()
+        if not member.listed and member.heard_until + patience < st.now
+    ]
+    for name in gone:
+        del st.members[name]
--- /dev/null
+++ b/packages/core/mimosaridge_core/messages.py
@@ -0,0 +1,223 @@
+"""Messages between daemons."""
+
+import dataclasses
+
+from mimosaridge_core import account
+from mimosaridge_core import configuration
+from mimosaridge_core import resources
+from mimosaridge_core import works
+
+
+@dataclasses.dataclass(slots=True)
+class Room:
+    """What one shard has for one endpoint's work.
+
+    Attributes:
+        endpoint: The endpoint.
+        free: Sum over workers that take work.
+        capacity: Sum over all workers of the shard.
+        widest_free: Largest free amount of each resource on one worker.
+        widest: Largest capacity of each resource on one worker.
+    """
+
+    endpoint: str
+    free: resources.Resources
+    capacity: resources.Resources
+    widest_free: resources.Resources
+    widest: resources.Resources
+
+
+@dataclasses.dataclass(slots=True)
+class ShardSummary:
+    """A shard as its owner last described it.
+
+    Attributes:
+        shard: The shard.
+        zone: Its availability zone.
+        epoch: The owner's epoch.
+        ready: Whether every worker has been heard under this epoch.
+        queued: Tasks waiting in it.
+        rooms: One for each endpoint.
+        team_use: Resources that each team has running.
+    """
+
+    shard: str
+    zone: str
+    epoch: int
+    ready: bool
+    queued: int
+    rooms: list[Room]
+    team_use: dict[str, resources.Resources]
+
+
+@dataclasses.dataclass(slots=True)
+class Heartbeat:
+    """A daemon's regular word to every peer.
+
+    Attributes:
+        url: Where peers reach it.
+        zone: Its availability zone.
+        config_number: Configuration in force there.
+        draining: Whether it is shutting down.
+        epochs: Partitions that it holds, with their epochs.
+        summaries: Its shards.
+    """
+
+    url: str
+    zone: str
+    config_number: int
+    draining: bool
+    epochs: dict[str, int]
+    summaries: list[ShardSummary]
+
+
+@dataclasses.dataclass(slots=True)
+class Released:
+    """A partition was given up and may be claimed at once."""
+
+    partition: str
+
+
+@dataclasses.dataclass(slots=True)
+class AskConfig:
+    """Asks a peer for the configuration in force there."""
+
+
+@dataclasses.dataclass(slots=True)
+class ConfigCopy:
+    """A configuration with its store revision."""
+
+    config: configuration.Config
+    revision: int
+
+
+@dataclasses.dataclass(slots=True)
+class ForwardWork:
+    """Work for the home of its bucket; sent again until it is settled."""
+
+    work: works.Work
+
+
+@dataclasses.dataclass(slots=True)
+class WorkAccepted:
+    """The home has recorded the work."""
+
+    work_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class WorkSettled:
+    """The outcome of work, for the daemons whose callers wait for it."""
+
+    work_id: str
+    outcome: works.Outcome
+
+
+@dataclasses.dataclass(slots=True)
+class CancelWork:
+    """A team or an operator cancels work."""
+
+    work_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class PlaceTask:
+    """A task for the owner of a shard.
+
+    Attributes:
+        shard: The shard.
+        task: The task.
+        hold: Reserve room and wait for StartHeld.
+        resent: Sent before; answered only by an owner that knows what every
+            worker of the shard runs.
+    """
+
+    shard: str
+    task: works.Task
+    hold: bool = False
+    resent: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class StartHeld:
+    """Starts a task that is held."""
+
+    shard: str
+    task_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class CancelTask:
+    """Drops a task that waits or is held, stops one that runs."""
+
+    shard: str
+    task_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class TaskUpdate:
+    """What an owner knows of a task, for the task's home.
+
+    Attributes:
+        task_id: The task.
+        attempt: The attempt that this is about.
+        work_id: The work it belongs to.
+        shard: The shard.
+        phase: Where the task stands.
+        worker: Worker that it runs on, if any.
+        outcome: Code, detail and answer of a settled attempt.
+    """
+
+    task_id: str
+    attempt: int
+    work_id: str
+    shard: str
+    phase: works.Phase
+    worker: str = ""
+    outcome: works.Outcome | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class UpdateTaken:
+    """The home has kept a settled update; the owner may forget it."""
+
+    shard: str
+    task_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class AskAccount:
+    """Asks a peer for its records of some work."""
+
+    query_id: int
+    work_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class AccountPage:
+    """A peer's records of some work."""
+
+    query_id: int
+    records: list[account.Record]
+
+
+ALL: tuple[type, ...] = (
+    Heartbeat,
+    Released,
+    AskConfig,
+    ConfigCopy,
+    ForwardWork,
+    WorkAccepted,
+    WorkSettled,
+    CancelWork,
+    PlaceTask,
+    StartHeld,
+    CancelTask,
+    TaskUpdate,
+    UpdateTaken,
+    AskAccount,
+    AccountPage,
+)
--- /dev/null
+++ b/packages/core/mimosaridge_core/partitions.py
@@ -0,0 +1,311 @@
+"""Which daemon holds each shard and bucket.
+
+A partition's key in the store goes with its owner's lease. The store revision
+of the swap that made the key is the owner's epoch, so epochs only grow.
+"""
+
+import dataclasses
+
+from mimosaridge_core import account
+from mimosaridge_core import dispatch
+from mimosaridge_core import documents
+from mimosaridge_core import effects
+from mimosaridge_core import events
+from mimosaridge_core import hashing
+from mimosaridge_core import homes
+from mimosaridge_core import membership
+from mimosaridge_core import messages
+from mimosaridge_core import shards
+from mimosaridge_core import state
+
+CHECK_S = 0.1
+RENEWALS_PER_LEASE = 3
+
+
+@dataclasses.dataclass(slots=True)
+class ClaimSent:
+    """A claim of a partition is on its way."""
+
+    partition: str
+
+
+@dataclasses.dataclass(slots=True)
+class ReleaseSent:
+    """The release of a partition is on its way."""
+
+    partition: str
+    heir: str
+
+
+@dataclasses.dataclass(slots=True)
+class ReadBack:
+    """A claim's answer was lost; the key is being read."""
+
+    partition: str
+
+
+@dataclasses.dataclass(slots=True)
+class Registered:
+    """The daemon's own entry is on its way."""
+
+
+def preferred_owner(partition: str, live: tuple[str, ...]) -> str:
+    """Returns the daemon that should hold a partition; empty if none lives.
+
+    Source: rendezvous hashing (Thaler and Ravishankar, 1998).
+    """
+    return max(
+        live,
+        key=lambda name: hashing.number_of(f"{name}/{partition}"),
+        default="",
+    )
+
+
+def _holds(st: state.State, partition: str) -> bool:
+    return partition in st.shards or partition in st.buckets
+
+
+def _epoch(st: state.State, partition: str) -> int:
+    held = st.shards.get(partition) or st.buckets.get(partition)
+    return held.epoch if held else 0
+
+
+def _pending(st: state.State, partition: str) -> bool:
+    return any(
+        getattr(operation, "partition", "") == partition
+        for operation in st.operations.values()
+    )
+
+
+def rename(st: state.State, out: list) -> None:
+    """Derives the partitions from the host list and the configuration."""
+    names = {
+        shards.shard_of(host, st.config.shards_per_zone)
+        for host in st.hosts.values()
+    }
+    buckets = (homes.bucket_name(i) for i in range(st.tuning.buckets))
+    st.partition_names = (*sorted(names), *buckets)
+    for shard in st.shards.values():
+        shards.sync_workers(st, shard, out)
+
+
+membership.HOST_LISTENERS.append(rename)
+membership.CONFIG_LISTENERS.append(rename)
+
+
+@dispatch.every_tick
+def _keep_lease(st: state.State, out: list) -> None:
+    if st.now < st.renew_at:
+        return
+    ttl_s = st.tuning.store_lease_s
+    st.renew_at = st.now + ttl_s / RENEWALS_PER_LEASE
+    out.append(effects.RenewLease(st.lease_id, ttl_s))
+
+
+@dispatch.handles(events.LeaseAnswered)
+def _lease(st: state.State, event: events.LeaseAnswered, out: list) -> None:
+    if event.result == "lost":
+        st.lease_id = ""
+        st.renew_at = 0.0
+    elif event.result == "ok" and event.lease_id != st.lease_id:
+        st.lease_id = event.lease_id
+        _register(st, out)
+
+
+def _register(st: state.State, out: list) -> None:
+    number = st.next_number()
+    st.operations[number] = Registered()
+    key = documents.DAEMONS + st.name
+    value = documents.Daemon(st.name, st.url, st.zone)
+    out.append(effects.StoreWrite(number, key, value, -1, leased=True))
+
+
+@dispatch.answers(Registered)
+def _registered(
+    st: state.State,
+    operation: Registered,
+    event: events.StoreAnswered,
+    out: list,
+) -> None:
+    if event.result == "unknown" and st.lease_id:
+        _register(st, out)
+
+
+@dispatch.every_tick
+def _check(st: state.State, out: list) -> None:
+    if st.now < st.partitions_at or not st.lease_id or not st.listed:
+        return
+    st.partitions_at = st.now + CHECK_S
+    settled = st.now - st.live_since >= st.tuning.settle_s
+    for partition in st.partition_names:
+        owner = preferred_owner(partition, st.live)
+        view = st.views.get(partition)
+        if _pending(st, partition):
+            continue
+        if (
+            owner == st.name
+            and view is None
+            and (settled or st.draining)
+            or _holds(st, partition)
+            and view is None
+            and not st.draining
+        ):
+            _claim(st, partition, out)
+        elif (
+            _holds(st, partition)
+            and owner != st.name
+            and settled
+            or st.draining
+            and _holds(st, partition)
+        ):
+            _release(st, partition, owner, out)
+
+
+def _claim(st: state.State, partition: str, out: list) -> None:
+    number = st.next_number()
+    st.operations[number] = ClaimSent(partition)
+    key = documents.PARTITIONS + partition
+    value = documents.Ownership(st.name)
+    out.append(effects.StoreWrite(number, key, value, 0, leased=True))
+
+
+@dispatch.answers(ClaimSent)
+def _claimed(
+    st: state.State,
+    operation: ClaimSent,
+    event: events.StoreAnswered,
+    out: list,
+) -> None:
+    if event.result == "ok":
+        _acquire(st, operation.partition, event.revision, out)
+    elif event.result == "unknown":
+        number = st.next_number()
+        st.operations[number] = ReadBack(operation.partition)
+        key = documents.PARTITIONS + operation.partition
+        out.append(effects.StoreRead(number, key))
+
+
+@dispatch.answers(ReadBack)
+def _read_back(
+    st: state.State,
+    operation: ReadBack,
+    event: events.StoreAnswered,
+    out: list,
+) -> None:
+    if event.result != "ok" or event.value is None:
+        return
+    if event.value.owner == st.name:
+        _acquire(st, operation.partition, event.revision, out)
+
+
+def _acquire(st: state.State, partition: str, epoch: int, out: list) -> None:
+    if epoch <= _epoch(st, partition):
+        return
+    st.views[partition] = state.View(st.name, epoch)
+    state.note(
+        st,
+        out,
+        account.Rule.OWNERSHIP,
+        f"{st.name} now holds {partition}.",
+        epoch=epoch,
+    )
+    if partition.startswith(shards.PREFIX):
+        shards.acquire(st, partition, epoch, out)
+    else:
+        homes.acquire(st, partition, epoch, out)
+
+
+def _release(st: state.State, partition: str, heir: str, out: list) -> None:
+    if partition in st.buckets:
+        bucket = st.buckets[partition]
+        bucket.releasing = True
+        if bucket.dirty or bucket.writing or not bucket.loaded:
+            return
+    else:
+        st.shards[partition].releasing = True
+    number = st.next_number()
+    st.operations[number] = ReleaseSent(partition, heir)
+    key = documents.PARTITIONS + partition
+    epoch = _epoch(st, partition)
+    out.append(effects.StoreWrite(number, key, None, epoch))
+
+
+@dispatch.answers(ReleaseSent)
+def _released(
+    st: state.State,
+    operation: ReleaseSent,
+    event: events.StoreAnswered,
+    out: list,
+) -> None:
+    if event.result == "unknown":
+        return
+    drop(st, operation.partition, out)
+    if event.result == "ok" and operation.heir not in ("", st.name):
+        released = messages.Released(operation.partition)
+        out.append(effects.SendPeer(operation.heir, released))
+
+
+@dispatch.receives(messages.Released)
+def _peer_released(
+    st: state.State, sender: str, message: messages.Released, out: list
+) -> None:
+    view = st.views.get(message.partition)
+    if view is not None and view.owner == sender:
+        del st.views[message.partition]
+    st.partitions_at = 0.0
+    _check(st, out)
+
+
+def drop(st: state.State, partition: str, out: list) -> None:
+    """Forgets a partition that this daemon held."""
+    if not _holds(st, partition):
+        return
+    view = st.views.get(partition)
+    if view is not None and view.owner == st.name:
+        del st.views[partition]
+    state.note(
+        st,
+        out,
+        account.Rule.OWNERSHIP,
+        f"{st.name} no longer holds {partition}.",
+        epoch=_epoch(st, partition),
+    )
+    if partition in st.shards:
+        shards.drop(st, partition, out)
+    else:
+        homes.drop(st, partition, out)
+
+
+def _ownership_changed(
+    st: state.State, event: events.StoreChanged, out: list
+) -> None:
+    partition = event.key.removeprefix(documents.PARTITIONS)
+    view = st.views.get(partition)
+    if event.value is None:
+        if view is not None and view.epoch < event.revision:
+            del st.views[partition]
+        return
+    if view is None or view.epoch < event.revision:
+        st.views[partition] = state.View(event.value.owner, event.revision)
+    newer = event.revision > _epoch(st, partition)
+    if event.value.owner != st.name and newer and _holds(st, partition):
+        drop(st, partition, out)
+
+
+membership.OWNERSHIP_LISTENERS.append(_ownership_changed)
+
+
+@dispatch.handles(events.DrainAsked)
+def _drain(st: state.State, event: events.DrainAsked, out: list) -> None:
+    st.draining = True
+    st.heartbeat_at = 0.0
+    st.partitions_at = 0.0
+
+
+@dispatch.every_tick
+def _finish_drain(st: state.State, out: list) -> None:
+    if not st.draining or st.waiters or st.works:
+        return
+    if st.shards or st.buckets:
+        return
+    out.append(effects.Shutdown())
--- /dev/null
+++ b/packages/core/mimosaridge_core/placement.py
@@ -0,0 +1,132 @@
+"""Finding a worker for a task among those that one daemon owns."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import sortedcontainers
+
+from mimosaridge_core import resources
+
+SCAN_LIMIT = 24
+
+Policy = Callable[["Pool", resources.Resources], str | None]
+POLICIES: dict[str, Policy] = {}
+
+
+def policy(name: str) -> Callable[[Policy], Policy]:
+    """Registers a placement policy under the name that operators choose."""
+
+    def register(chosen: Policy) -> Policy:
+        POLICIES[name] = chosen
+        return chosen
+
+    return register
+
+
+class Pool:
+    """Workers of one endpoint, grouped by free accelerators.
+
+    Attributes:
+        free: What each worker has free, by id.
+        groups: For each number of free accelerators, workers sorted by free
+            processor time and memory.
+    """
+
+    def __init__(self) -> None:
+        self.free: dict[str, resources.Resources] = {}
+        self.groups: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
+
+    def put(self, worker_id: str, free: resources.Resources) -> None:
+        """Adds a worker or replaces what it has free."""
+        self.drop(worker_id)
+        self.free[worker_id] = free
+        group = self.groups.get(free.accelerators)
+        if group is None:
+            group = sortedcontainers.SortedList()
+            self.groups[free.accelerators] = group
+        group.add((free.cpu_millis, free.memory_mib, worker_id))
+
+    def drop(self, worker_id: str) -> None:
+        """Removes a worker, if it is there."""
+        free = self.free.pop(worker_id, None)
+        if free is None:
+            return
+        group = self.groups[free.accelerators]
+        group.remove((free.cpu_millis, free.memory_mib, worker_id))
+        if not group:
+            del self.groups[free.accelerators]
+
+    def candidates(self, needs: resources.Resources) -> Iterator[str]:
+        """Yields workers by least free accelerators, then processor time.
+
+        Not all that it yields fit in memory, slots and connections.
+        """
+        for accelerators in self.groups.irange(needs.accelerators):
+            group = self.groups[accelerators]
+            for _, _, worker_id in group.irange((needs.cpu_millis,)):
+                yield worker_id
+
+
+class Index:
+    """Pools by endpoint."""
+
+    def __init__(self) -> None:
+        self.pools: dict[str, Pool] = {}
+
+    def put(
+        self, endpoint: str, worker_id: str, free: resources.Resources
+    ) -> None:
+        """Adds a worker or replaces what it has free."""
+        self.pools.setdefault(endpoint, Pool()).put(worker_id, free)
+
+    def drop(self, endpoint: str, worker_id: str) -> None:
+        """Removes a worker, if it is there."""
+        if endpoint in self.pools:
+            self.pools[endpoint].drop(worker_id)
+
+    def find(
+        self, name: str, endpoint: str, needs: resources.Resources
+    ) -> str | None:
+        """Returns a worker with room by the named policy, or None."""
+        chosen = POLICIES.get(name, best_fit)
+        if endpoint:
+            pool = self.pools.get(endpoint)
+            return chosen(pool, needs) if pool else None
+        for pool in self.pools.values():
+            worker_id = chosen(pool, needs)
+            if worker_id is not None:
+                return worker_id
+        return None
+
+
+@policy("best-fit")
+def best_fit(pool: Pool, needs: resources.Resources) -> str | None:
+    """Chooses the fullest worker that fits, sparing accelerators.
+
+    Workers without slots sort among the others, so that after SCAN_LIMIT
+    misses the emptiest workers are tried instead.
+    """
+    for scanned, worker_id in enumerate(pool.candidates(needs)):
+        if needs.fits(pool.free[worker_id]):
+            return worker_id
+        if scanned >= SCAN_LIMIT:
+            return _emptiest(pool, needs)
+    return None
+
+
+def _emptiest(pool: Pool, needs: resources.Resources) -> str | None:
+    for accelerators in pool.groups.irange(needs.accelerators):
+        group = pool.groups[accelerators]
+        for _, _, worker_id in reversed(group):
+            if needs.fits(pool.free[worker_id]):
+                return worker_id
+    return None
+
+
+@policy("first-fit")
+def first_fit(pool: Pool, needs: resources.Resources) -> str | None:
+    """Chooses the first worker that fits, in the order of listing."""
+    for worker_id, free in pool.free.items():
+        if needs.fits(free):
+            return worker_id
+    return None
--- /dev/null
+++ b/packages/core/mimosaridge_core/queueing.py
@@ -0,0 +1,88 @@
+"""Tasks that wait in a shard, by urgency, team and endpoint."""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+import heapq
+
+from mimosaridge_core import works
+
+TaskKey = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """A task that waits.
+
+    Attributes:
+        task: The task.
+        hold: Reserve room for it instead of starting it.
+        home_daemon: Daemon that sent it.
+        since: When it came, seconds since the epoch.
+    """
+
+    task: works.Task
+    hold: bool
+    home_daemon: str
+    since: float
+
+
+Lane = tuple[str, str]
+
+
+class Queue:
+    """Waiting tasks in lanes, one for each team and endpoint.
+
+    Attributes:
+        waiting: All waiting tasks by id and attempt.
+        lanes: For each urgency class, the lanes' tasks in order of arrival.
+        deadlines: Heap of start deadlines; may name tasks that left.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: dict[TaskKey, Waiting] = {}
+        self.lanes: dict[
+            works.Urgency, dict[Lane, collections.deque[TaskKey]]
+        ] = {urgency: {} for urgency in works.Urgency}
+        self.deadlines: list[tuple[float, TaskKey]] = []
+
+    def __len__(self) -> int:
+        return len(self.waiting)
+
+    def add(self, waiting: Waiting) -> None:
+        """Adds a task at the end of its lane."""
+        task = waiting.task
+        key = (task.task_id, task.attempt)
+        self.waiting[key] = waiting
+        lanes = self.lanes[task.urgency]
+        lane = (task.team, task.endpoint)
+        lanes.setdefault(lane, collections.deque()).append(key)
+        heapq.heappush(self.deadlines, (task.start_before, key))
+
+    def remove(self, key: TaskKey) -> Waiting | None:
+        """Removes a task; its place in the lane is skipped later."""
+        return self.waiting.pop(key, None)
+
+    def head(self, urgency: works.Urgency, lane: Lane) -> Waiting | None:
+        """Returns the first task of a lane, or None, dropping empty lanes."""
+        lanes = self.lanes[urgency]
+        keys = lanes.get(lane)
+        while keys:
+            waiting = self.waiting.get(keys[0])
+            if waiting is not None:
+                return waiting
+            keys.popleft()
+        lanes.pop(lane, None)
+        return None
+
+    def open_lanes(self, urgency: works.Urgency) -> list[Lane]:
+        """Returns the lanes of an urgency class that may hold tasks."""
+        return list(self.lanes[urgency])
+
+    def overdue(self, now: float) -> Iterator[Waiting]:
+        """Removes and yields tasks whose start deadline has passed."""
+        while self.deadlines and self.deadlines[0][0] <= now:
+            _, key = heapq.heappop(self.deadlines)
+            waiting = self.remove(key)
+            if waiting is not None:
+                yield waiting
--- /dev/null
+++ b/packages/core/mimosaridge_core/resources.py
@@ -0,0 +1,74 @@
+"""Amounts of what a worker has and a task needs."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resources:
+    """A vector of resource amounts.
+
+    Attributes:
+        cpu_millis: Processor time in thousandths of a core.
+        memory_mib: Memory in MiB.
+        accelerators: Whole accelerators.
+        slots: Places for concurrently running tasks.
+        connections: Open connections towards the worker's endpoint.
+    """
+
+    cpu_millis: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+    slots: int = 0
+    connections: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+            self.slots + other.slots,
+            self.connections + other.connections,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+            self.slots - other.slots,
+            self.connections - other.connections,
+        )
+
+    def fits(self, room: "Resources") -> bool:
+        """Tells whether this amount is at most `room` in every resource."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mib <= room.memory_mib
+            and self.accelerators <= room.accelerators
+            and self.slots <= room.slots
+            and self.connections <= room.connections
+        )
+
+    def dominant_fraction(self, total: "Resources") -> float:
+        """Returns the largest fraction of `total` over all resources.
+
+        Source: dominant resource fairness (Ghodsi et al., NSDI 2011).
+        """
+        pairs = (
+            (self.cpu_millis, total.cpu_millis),
+            (self.memory_mib, total.memory_mib),
+            (self.accelerators, total.accelerators),
+            (self.slots, total.slots),
+        )
+        return max((used / have for used, have in pairs if have), default=0.0)
+
+
+ZERO = Resources()
+
+
+def total(amounts: "list[Resources]") -> Resources:
+    """Returns the sum of all amounts."""
+    result = ZERO
+    for amount in amounts:
+        result = result + amount
+    return result
--- /dev/null
+++ b/packages/core/mimosaridge_core/routing.py
@@ -0,0 +1,95 @@
+"""Choosing the shard that a task is sent to."""
+
+from collections.abc import Iterator
+
+from mimosaridge_core import messages
+from mimosaridge_core import resources
+from mimosaridge_core import state
+from mimosaridge_core import summaries
+from mimosaridge_core import works
+
+CHOICES = 2
+
+
+def known_summaries(st: state.State) -> Iterator[messages.ShardSummary]:
+    """Yields this daemon's shards and the live peers' as last described."""
+    for shard in st.shards.values():
+        yield summaries.summarize(st, shard)
+    for member in st.members.values():
+        if member.heard_until > st.now:
+            yield from member.summaries.values()
+
+
+def _rooms(
+    summary: messages.ShardSummary, endpoint: str
+) -> list[messages.Room]:
+    return [
+        room
+        for room in summary.rooms
+        if not endpoint or room.endpoint == endpoint
+    ]
+
+
+def could_ever_fit(
+    st: state.State, endpoint: str, needs: resources.Resources
+) -> bool:
+    """Tells whether any listed worker is large enough."""
+    return any(
+        needs.fits(host.capacity)
+        for host in st.hosts.values()
+        if not endpoint or host.endpoint == endpoint
+    )
+
+
+def choose(
+    st: state.State,
+    endpoint: str,
+    needs: resources.Resources,
+    avoid: frozenset[str] = frozenset(),
+) -> str:
+    """Returns a shard for a task, or an empty name if none takes it now.
+
+    Of the shards with room, two are drawn and the one with the shorter queue
+    and more free slots is taken. Without room anywhere, the shortest queue of
+    a shard with large enough workers is taken.
+
+    Source: the power of two choices (Mitzenmacher, 2001).
+    """
+    roomy: list[tuple[int, int, str]] = []
+    capable: list[tuple[int, int, str]] = []
+    for summary in known_summaries(st):
+        if not summary.ready or summary.zone in st.config.zones_out:
+            continue
+        for room in _rooms(summary, endpoint):
+            if not needs.fits(room.widest):
+                continue
+            entry = (summary.queued, -room.free.slots, summary.shard)
+            capable.append(entry)
+            if needs.fits(room.widest_free) and summary.shard not in avoid:
+                roomy.append(entry)
+    if roomy:
+        drawn = st.rng.sample(roomy, min(CHOICES, len(roomy)))
+        return min(drawn)[2]
+    return min(capable)[2] if capable else ""
+
+
+def task_of(
+    work: works.Work, index: int, attempt: int, home: str
+) -> works.Task:
+    """Returns one attempt at one task of some work."""
+    return works.Task(
+        f"{work.work_id}/{index}",
+        attempt,
+        work.work_id,
+        home,
+        work.team,
+        work.kind,
+        work.needs,
+        work.endpoint,
+        work.urgency,
+        work.start_before,
+        work.submitted_at,
+        work.declared_run_s,
+        work.idempotent,
+        work.body,
+    )
--- /dev/null
+++ b/packages/core/mimosaridge_core/state.py
@@ -0,0 +1,347 @@
+"""All that one daemon knows; changed by the reducer alone."""
+
+import dataclasses
+import random
+from typing import Any
+
+from mimosaridge_core import account
+from mimosaridge_core import codes
+from mimosaridge_core import configuration
+from mimosaridge_core import documents
+from mimosaridge_core import effects
+from mimosaridge_core import events
+from mimosaridge_core import messages
+from mimosaridge_core import placement
+from mimosaridge_core import queueing
+from mimosaridge_core import resources
+from mimosaridge_core import tunables
+from mimosaridge_core import works
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """A peer daemon.
+
+    Attributes:
+        name: Its name.
+        url: Where it is reached.
+        zone: Its availability zone.
+        heard_until: Deadline after which it counts as gone.
+        listed: Whether the store lists it.
+        draining: Whether it is shutting down.
+        config_number: Configuration in force there.
+        epochs: Partitions that it holds, with their epochs.
+        summaries: Its shards, by name.
+    """
+
+    name: str
+    url: str
+    zone: str
+    heard_until: float
+    listed: bool = False
+    draining: bool = False
+    config_number: int = 0
+    epochs: dict[str, int] = dataclasses.field(default_factory=dict)
+    summaries: dict[str, messages.ShardSummary] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """Who holds a partition, as far as this daemon knows."""
+
+    owner: str
+    epoch: int
+
+
+@dataclasses.dataclass(slots=True)
+class Placed:
+    """A task that takes room on a worker.
+
+    Attributes:
+        task: The task.
+        phase: HELD, PLACING (start sent) or RUNNING.
+        hold_until: Deadline of a hold, seconds since the epoch.
+        stopping: Whether its stop was sent.
+    """
+
+    task: works.Task
+    phase: works.Phase
+    hold_until: float = 0.0
+    stopping: bool = False
+
+
+TaskKey = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class Worker:
+    """A worker as its owner sees it.
+
+    Attributes:
+        host: Its entry in the host list.
+        free: What is left of its capacity.
+        placed: Tasks that take room on it, by task id and attempt.
+        claim: Number that starts must carry; 0 until claimed.
+        heard: Whether it was claimed under the present epoch.
+        reachable: Whether it answered its last call.
+        leaving: Whether it or the host list says that it is going away.
+        lease_ends: When its task leases have surely ended.
+    """
+
+    host: events.Host
+    free: resources.Resources
+    placed: dict[TaskKey, Placed] = dataclasses.field(default_factory=dict)
+    claim: int = 0
+    heard: bool = False
+    reachable: bool = False
+    leaving: bool = False
+    lease_ends: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Shard:
+    """A shard that this daemon owns.
+
+    Attributes:
+        name: The shard.
+        zone: Its availability zone.
+        epoch: The owner's epoch.
+        workers: Its workers by id.
+        index: Workers that take work, found by what they have free.
+        queue: Tasks that wait.
+        places: Worker of each placed task.
+        ended: Settled updates that their homes have not yet taken.
+        team_use: What each team has placed.
+        releasing: Whether it is being given up.
+    """
+
+    name: str
+    zone: str
+    epoch: int
+    workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
+    index: placement.Index = dataclasses.field(default_factory=placement.Index)
+    queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
+    places: dict[TaskKey, str] = dataclasses.field(default_factory=dict)
+    ended: dict[TaskKey, "Ended"] = dataclasses.field(default_factory=dict)
+    team_use: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    releasing: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Ended:
+    """A settled attempt that its home has not yet taken.
+
+    Attributes:
+        update: The update.
+        home: Where it goes.
+        worker_id: Worker that keeps the answer; empty if none does.
+        resend_at: When it is sent again, seconds since the epoch.
+        until: When it is dropped, seconds since the epoch.
+    """
+
+    update: messages.TaskUpdate
+    home: str
+    worker_id: str
+    resend_at: float
+    until: float
+
+
+@dataclasses.dataclass(slots=True)
+class TaskState:
+    """A task as its home sees it.
+
+    Attributes:
+        phase: Where it stands.
+        worker: Worker that it runs on, if any.
+        sent: Whether its attempt was sent to a shard.
+        epoch: Epoch of the shard when it was last sent.
+        failures: Attempts that failed.
+    """
+
+    phase: works.Phase = works.Phase.PENDING
+    worker: str = ""
+    sent: bool = False
+    epoch: int = 0
+    failures: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class HomeWork:
+    """Work that this daemon answers for.
+
+    Attributes:
+        entry: The work and its assignments.
+        home: Bucket, or this daemon's name.
+        tasks: Its tasks by index.
+        origins: Daemons whose callers wait for it.
+        recorded: Whether the store has it.
+    """
+
+    entry: documents.Entry
+    home: str
+    tasks: list[TaskState]
+    origins: set[str] = dataclasses.field(default_factory=set)
+    recorded: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Bucket:
+    """A bucket that this daemon owns.
+
+    Attributes:
+        name: The bucket.
+        epoch: The owner's epoch.
+        ledger: Its ledger as it is to be.
+        revision: Store revision of the ledger as last read or written.
+        loaded: Whether the ledger has been read.
+        dirty: Whether the ledger differs from the store's.
+        writing: Whether a write is on its way.
+        flush_at: Earliest time of the next write.
+        unsent: Tasks to be sent once the ledger is written.
+        untaken: Updates to be confirmed once the ledger is written.
+        releasing: Whether it is being given up.
+    """
+
+    name: str
+    epoch: int
+    ledger: documents.Ledger = dataclasses.field(
+        default_factory=documents.Ledger
+    )
+    revision: int = 0
+    loaded: bool = False
+    dirty: bool = False
+    writing: bool = False
+    flush_at: float = 0.0
+    unsent: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    untaken: list[tuple[str, messages.UpdateTaken]] = dataclasses.field(
+        default_factory=list
+    )
+    releasing: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Waiter:
+    """Callers here that wait for some work.
+
+    Attributes:
+        work: The work.
+        home: Bucket, or this daemon's name.
+        handles: Open calls; False marks one that only waits for acceptance.
+        resend_at: When the work is forwarded again.
+        accepted: Whether its home has recorded it.
+    """
+
+    work: works.Work
+    home: str
+    handles: dict[int, bool]
+    resend_at: float
+    accepted: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Query:
+    """A question to all peers.
+
+    Attributes:
+        handle: The open call.
+        work_id: The work asked about.
+        missing: Peers that have not answered.
+        records: What was answered so far.
+        until: Deadline, seconds since the epoch.
+    """
+
+    handle: int
+    work_id: str
+    missing: set[str]
+    records: list[account.Record]
+    until: float
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """All that one daemon knows.
+
+    Attributes:
+        name: The daemon's name.
+        url: Where its peers reach it.
+        zone: Its availability zone.
+        rng: The only source of randomness.
+        tuning: Numbers shared by the deployment.
+        bootstrap_key: Operator's token that counts while no operator's key
+            was ever granted; empty for none.
+        now: Time of the latest event, seconds since the epoch.
+    """
+
+    name: str
+    url: str
+    zone: str
+    rng: random.Random
+    tuning: tunables.Tunables = dataclasses.field(
+        default_factory=tunables.Tunables
+    )
+    bootstrap_key: str = ""
+    now: float = 0.0
+    config: configuration.Config = dataclasses.field(
+        default_factory=configuration.Config
+    )
+    config_revision: int = 0
+    store_heard_at: float = 0.0
+    lease_id: str = ""
+    renew_at: float = 0.0
+    members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    listed: bool = False
+    live: tuple[str, ...] = ()
+    live_since: float = 0.0
+    heartbeat_at: float = 0.0
+    partitions_at: float = 0.0
+    hosts: dict[str, events.Host] = dataclasses.field(default_factory=dict)
+    fleet: resources.Resources = resources.ZERO
+    partition_names: tuple[str, ...] = ()
+    views: dict[str, View] = dataclasses.field(default_factory=dict)
+    shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
+    buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
+    works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
+    timers: list[tuple[float, int, str, int]] = dataclasses.field(
+        default_factory=list
+    )
+    waiters: dict[str, Waiter] = dataclasses.field(default_factory=dict)
+    queries: dict[int, Query] = dataclasses.field(default_factory=dict)
+    operations: dict[int, Any] = dataclasses.field(default_factory=dict)
+    counter: int = 0
+    ring: account.Ring = dataclasses.field(default_factory=account.Ring)
+    draining: bool = False
+
+    def next_number(self) -> int:
+        """Returns a number that this daemon has not used before."""
+        self.counter += 1
+        return self.counter
+
+
+def note(
+    st: State,
+    out: list,
+    rule: account.Rule,
+    text: str,
+    work_id: str = "",
+    task_id: str = "",
+    code: codes.Code = codes.Code.OK,
+    epoch: int = 0,
+) -> None:
+    """Keeps a record of a decision and has it logged."""
+    record = account.Record(
+        st.now,
+        st.name,
+        work_id,
+        task_id,
+        rule,
+        code,
+        st.config.number,
+        epoch,
+        text,
+    )
+    st.ring.add(record)
+    out.append(effects.Record(record))
--- /dev/null
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -0,0 +1,47 @@
+"""Numbers that all daemons of a deployment share."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tunables:
+    """Intervals in seconds, counts and sizes.
+
+    Attributes:
+        heartbeat_s: Between heartbeats to each peer.
+        member_timeout_s: Silence after which a peer counts as gone.
+        store_lease_s: Life of the daemon's lease in the store.
+        settle_s: How long membership must stand before partitions move.
+        resend_s: Before an unanswered message is sent again.
+        hold_s: How long room is held for an all-at-once job.
+        worker_lease_s: Life of a worker's task leases.
+        lease_margin_s: Added before a lease counts as surely ended.
+        flush_s: Least time between two writes of one ledger.
+        retention_s: How long outcomes are kept.
+        skew_s: Largest difference between hosts' clocks.
+        buckets: Number of ledgers.
+        ledger_bytes: Body bytes that one ledger takes before it refuses work.
+        queue_limit: Tasks that may wait in one shard.
+        attempts: Most attempts at a failing batch task.
+        stale_config_s: Without word of the configuration, after which
+            nothing is started while peers have word.
+        plan_s: Life of a plan.
+    """
+
+    heartbeat_s: float = 0.5
+    member_timeout_s: float = 2.5
+    store_lease_s: float = 6.0
+    settle_s: float = 1.0
+    resend_s: float = 1.0
+    hold_s: float = 5.0
+    worker_lease_s: float = 20.0
+    lease_margin_s: float = 2.0
+    flush_s: float = 0.03
+    retention_s: float = 600.0
+    skew_s: float = 1.0
+    buckets: int = 16
+    ledger_bytes: int = 700_000
+    queue_limit: int = 20_000
+    attempts: int = 3
+    stale_config_s: float = 5.0
+    plan_s: float = 120.0
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry host: carries out what the core decides."""
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/clients.py
@@ -0,0 +1,48 @@
+"""HTTP calls that carry JSON."""
+
+import json
+from typing import Any
+
+import result
+import urllib3
+
+CONNECT_S = 1.0
+
+
+class Client:
+    """Calls one base address over a bounded pool of connections."""
+
+    def __init__(self, base_url: str, connections: int) -> None:
+        self.base_url = base_url.rstrip("/")
+        self.pool = urllib3.PoolManager(
+            num_pools=1, maxsize=connections, block=True, retries=False
+        )
+
+    def call(
+        self, method: str, path: str, body: Any = None, timeout_s: float = 2.0
+    ) -> result.Result[tuple[int, Any], str]:
+        """Makes one call.
+
+        Returns:
+            The status and the decoded answer, or why there is no answer; then
+            the call may or may not have taken effect.
+        """
+        try:
+            answer = self.pool.request(
+                method,
+                self.base_url + path,
+                body=None if body is None else json.dumps(body),
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(connect=CONNECT_S, read=timeout_s),
+                pool_timeout=timeout_s,
+            )
+            content = json.loads(answer.data) if answer.data else None
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            return result.Err(f"{type(error).__name__}: {error}")
+        if answer.status >= 500:
+            return result.Err(f"status {answer.status}")
+        return result.Ok((answer.status, content))
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        self.pool.clear()
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/codec.py
@@ -0,0 +1,69 @@
+"""Typed values to CBOR for peers and JSON for the store, and back."""
+
+import functools
+from typing import Any
+
+import cbor2
+import pydantic
+
+from mimosaridge_core import documents
+from mimosaridge_core import messages
+
+MESSAGES = {kind.__name__: kind for kind in messages.ALL}
+
+
+class MalformedError(Exception):
+    """Bytes that are not what they should be."""
+
+
+@functools.cache
+def adapter(kind: type) -> pydantic.TypeAdapter:
+    """Returns the validator of a type."""
+    return pydantic.TypeAdapter(kind)
+
+
+def encode_message(sender: str, message: Any) -> bytes:
+    """Encodes a peer message with its sender."""
+    kind = type(message)
+    fields = adapter(kind).dump_python(message)
+    return cbor2.dumps([kind.__name__, sender, fields])
+
+
+def decode_message(data: bytes) -> tuple[str, Any]:
+    """Decodes a peer message.
+
+    Raises:
+        MalformedError: The bytes are no message of a known type.
+    """
+    try:
+        name, sender, fields = cbor2.loads(data)
+        message = adapter(MESSAGES[name]).validate_python(fields)
+    except (
+        cbor2.CBORDecodeError,
+        pydantic.ValidationError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise MalformedError(f"Bad peer message: {error}") from error
+    return sender, message
+
+
+def encode_document(value: Any) -> Any:
+    """Turns a document into plain JSON values."""
+    return adapter(type(value)).dump_python(value, mode="json")
+
+
+def decode_document(key: str, value: Any) -> Any:
+    """Turns plain JSON values into the document that belongs under a key.
+
+    Raises:
+        MalformedError: The values are not such a document.
+    """
+    kind = documents.kind_of(key)
+    if value is None or kind is None:
+        return None
+    try:
+        return adapter(kind).validate_python(value)
+    except pydantic.ValidationError as error:
+        raise MalformedError(f"Bad document under {key}: {error}") from error
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/engine.py
@@ -0,0 +1,140 @@
+"""Feeds events to the reducer one at a time and carries out its effects."""
+
+from collections.abc import Callable
+import random
+import time
+from typing import Any
+
+import gevent
+from gevent import event as gevent_event
+from gevent import queue
+import logbook
+
+from mimosaridge_core import effects
+from mimosaridge_core import events
+from mimosaridge_core import reducer
+from mimosaridge_core import state
+from mimosaridge_daemon import hostlist
+from mimosaridge_daemon import logs
+from mimosaridge_daemon import metrics
+from mimosaridge_daemon import peers
+from mimosaridge_daemon import recording
+from mimosaridge_daemon import settings
+from mimosaridge_daemon import store
+from mimosaridge_daemon import workerlinks
+
+LOG = logbook.Logger("engine")
+TICK_S = 0.02
+EVENTS_BETWEEN_YIELDS = 50
+
+
+class Engine:
+    """One daemon's event loop."""
+
+    def __init__(self, chosen: settings.Settings) -> None:
+        self.inbox: queue.Queue = queue.Queue()
+        self.state = state.State(
+            name=chosen.name,
+            url=f"ws://{chosen.listen_peer}",
+            zone=chosen.zone,
+            rng=random.Random(chosen.seed or None),
+            bootstrap_key=chosen.bootstrap_key,
+        )
+        self.metrics = metrics.Metrics(chosen.statsd, chosen.name)
+        self.recorder = recording.Recorder(chosen.record)
+        self.store = store.Store(chosen.store_url, self.post)
+        self.links = workerlinks.Links(chosen.name, self.post)
+        self.peers = peers.Peers(
+            chosen.name, chosen.listen_peer, chosen.peer_secret, self.post
+        )
+        self.hosts_url = chosen.hosts_url
+        self.calls: dict[int, gevent_event.AsyncResult] = {}
+        self.last_handle = 0
+        self.stopped = gevent_event.Event()
+        self.carriers: dict[type, Callable[[Any], None]] = {
+            effects.Reply: self._reply,
+            effects.SendPeer: self._send_peer,
+            effects.StoreWrite: self.store.write,
+            effects.StoreRead: self.store.read,
+            effects.RenewLease: self.store.renew,
+            effects.ClaimWorker: self.links.claim,
+            effects.DropWorker: lambda item: self.links.drop(item.worker_id),
+            effects.StartTask: self.links.start,
+            effects.StopTask: lambda item: self.links.tell("/stop", item),
+            effects.ForgetTask: lambda item: self.links.tell("/forget", item),
+            effects.Record: self._record,
+            effects.Shutdown: lambda item: self.stopped.set(),
+        }
+
+    def post(self, event: events.Event) -> None:
+        """Queues an event."""
+        self.inbox.put(event)
+
+    def start(self) -> None:
+        """Starts the loop and everything that feeds it."""
+        gevent.spawn(self._run)
+        gevent.spawn(self._tick)
+        self.peers.start()
+        self.store.start()
+        gevent.spawn(hostlist.follow, self.hosts_url, self.post)
+
+    def call(
+        self, make: Callable[[float, int], events.Event], timeout_s: float
+    ) -> effects.Reply | None:
+        """Posts an event with a new handle and waits for its reply.
+
+        Returns:
+            The reply, or None if it did not come in time.
+        """
+        self.last_handle += 1
+        handle = self.last_handle
+        answer = gevent_event.AsyncResult()
+        self.calls[handle] = answer
+        self.post(make(time.time(), handle))
+        try:
+            return answer.get(timeout=timeout_s)
+        except gevent.Timeout:
+            self.post(events.CallerGone(time.time(), handle))
+            return None
+        finally:
+            self.calls.pop(handle, None)
+
+    def _tick(self) -> None:
+        while True:
+            gevent.sleep(TICK_S)
+            self.post(events.Tick(time.time()))
+
+    def _run(self) -> None:
+        handled = 0
+        while True:
+            self._handle(self.inbox.get())
+            handled += 1
+            if handled % EVENTS_BETWEEN_YIELDS == 0:
+                gevent.sleep(0)
+
+    def _handle(self, event: events.Event) -> None:
+        self.recorder.write(event)
+        try:
+            produced = reducer.reduce(self.state, event)
+        except Exception:
+            LOG.exception("{} failed", type(event).__name__)
+            self.metrics.count("reducer.failed")
+            return
+        for effect in produced:
+            self.carriers[type(effect)](effect)
+
+    def _reply(self, effect: effects.Reply) -> None:
+        answer = self.calls.get(effect.handle)
+        if answer is not None:
+            answer.set(effect)
+
+    def _send_peer(self, effect: effects.SendPeer) -> None:
+        member = self.state.members.get(effect.daemon)
+        if member is not None:
+            self.peers.send(effect.daemon, member.url, effect.message)
+        elif effect.daemon == self.state.name:
+            self.peers.send(effect.daemon, "", effect.message)
+
+    def _record(self, effect: effects.Record) -> None:
+        self.metrics.count(f"decision.{effect.record.rule}")
+        logs.write_decision(effect.record)
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/logs.py
@@ -0,0 +1,40 @@
+"""Logs as JSON lines on standard error."""
+
+import dataclasses
+import json
+import sys
+
+import logbook
+
+from mimosaridge_core import account
+
+
+class JsonHandler(logbook.StreamHandler):
+    """Writes each log record as one JSON line."""
+
+    def __init__(self, daemon: str, level: str) -> None:
+        super().__init__(sys.stderr, level=level)
+        self.daemon = daemon
+
+    def format(self, record: logbook.LogRecord) -> str:
+        """Returns the line."""
+        fields = {
+            "at": record.time.isoformat(),
+            "level": record.level_name,
+            "daemon": self.daemon,
+            "channel": record.channel,
+            "message": record.message,
+        }
+        fields.update(record.extra)
+        if record.formatted_exception:
+            fields["exception"] = record.formatted_exception
+        return json.dumps(fields, default=str)
+
+
+DECISIONS = logbook.Logger("decision")
+
+
+def write_decision(record: account.Record) -> None:
+    """Logs a decision with all its fields."""
+    fields = dataclasses.asdict(record)
+    DECISIONS.info(record.text, extra=fields)
--- /dev/null
+++ b/standins/mimosaridge_fakes/workers.py
@@ -0,0 +1,135 @@
+"""A worker that answers worker effects and checks what it is given."""
+
+import dataclasses
+
+from mimosaridge_core import codes
+from mimosaridge_core import effects
+from mimosaridge_core import events
+from mimosaridge_core import resources
+from mimosaridge_core import works
+
+
+@dataclasses.dataclass
+class Run:
+    """A task that runs or has ended."""
+
+    task: works.Task
+    started_at: float
+    ended: bool = False
+    ok: bool = False
+    detail: str = ""
+    answer: bytes = b""
+
+
+class Worker:
+    """One worker.
+
+    Attributes:
+        host: Its entry in the host list.
+        reachable: Whether calls reach it.
+        lose_starts: This many starts take effect and get no answer.
+        starts: Every start that took effect: time, task id, attempt.
+        overcommits: Starts that it had no room for; it takes them all the
+            same when `trusting`, so that a test can see the owner's mistake.
+    """
+
+    def __init__(self, host: events.Host) -> None:
+        self.host = host
+        self.epoch = 0
+        self.owner = ""
+        self.claim = 0
+        self.lease_until = 0.0
+        self.lease_s = 0.0
+        self.reachable = True
+        self.lose_starts = 0
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.starts: list[tuple[float, str, int]] = []
+        self.overcommits = 0
+
+    def used(self) -> resources.Resources:
+        """Returns what running tasks use."""
+        running = [run for run in self.runs.values() if not run.ended]
+        return resources.total([run.task.needs for run in running])
+
+    def take_claim(
+        self, effect: effects.ClaimWorker, owner: str, now: float
+    ) -> events.Event:
+        """Answers a claim."""
+        worker_id = self.host.worker_id
+        if effect.epoch < self.epoch:
+            return events.WorkerLost(
+                now, worker_id, effect.epoch, codes.Code.STALE_EPOCH
+            )
+        self.epoch = effect.epoch
+        self.owner = owner
+        self.claim += 1
+        self.lease_s = effect.lease_s
+        self.lease_until = now + effect.lease_s
+        held = [
+            events.HeldTask(run.task, run.ended, run.ok, run.detail, run.answer)
+            for run in self.runs.values()
+        ]
+        return events.WorkerClaimed(
+            now, worker_id, self.epoch, self.claim, self.host.leaving, held
+        )
+
+    def take_start(self, effect: effects.StartTask, now: float) -> codes.Code:
+        """Answers a start; the code is UNKNOWN if the answer is lost."""
+        task = effect.task
+        key = (task.task_id, task.attempt)
+        if effect.epoch != self.epoch or effect.claim != self.claim:
+            return codes.Code.STALE_EPOCH
+        if task.start_before <= now:
+            return codes.Code.DEADLINE_PASSED
+        if key not in self.runs:
+            self.runs[key] = Run(task, now)
+            self.starts.append((now, *key))
+            if not self.used().fits(self.host.capacity):
+                self.overcommits += 1
+        if self.lose_starts > 0:
+            self.lose_starts -= 1
+            return codes.Code.UNKNOWN
+        return codes.Code.OK
+
+    def end(
+        self, key: tuple[str, int], ok: bool, detail: str = ""
+    ) -> events.TaskEnded | None:
+        """Ends a task that runs and returns the report of it."""
+        run = self.runs.get(key)
+        if run is None or run.ended:
+            return None
+        run.ended = True
+        run.ok = ok
+        run.detail = detail
+        run.answer = f"answer of {key[0]}".encode() if ok else b""
+        return self.report(key)
+
+    def report(self, key: tuple[str, int]) -> events.TaskEnded | None:
+        """Returns the report of a task that has ended."""
+        run = self.runs[key]
+        if not run.ended:
+            return None
+        return events.TaskEnded(
+            0.0,
+            self.host.worker_id,
+            self.epoch,
+            *key,
+            run.ok,
+            run.detail,
+            run.answer,
+        )
+
+    def forget(self, key: tuple[str, int]) -> None:
+        """Forgets an ended task."""
+        run = self.runs.get(key)
+        if run is not None and run.ended:
+            del self.runs[key]
+
+    def sweep(self, now: float) -> list[events.TaskEnded]:
+        """Stops all tasks once the leases have lapsed."""
+        if not self.lease_until or self.lease_until >= now:
+            return []
+        reports = [
+            self.end(key, False, "its lease lapsed") for key in list(self.runs)
+        ]
+        return [report for report in reports if report is not None]
--- /dev/null
+++ b/standins/mimosaridge_standins/deployments.py
@@ -0,0 +1,190 @@
+"""Starts a whole deployment on this machine and ends it again."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+import urllib.request
+
+from mimosaridge_standins import fleets
+
+BOOTSTRAP_KEY = "bootstrap.first-operator"
+PEER_SECRET = "loopback-peers"
+START_S = 20.0
+STOP_S = 10.0
+
+
+def free_port() -> int:
+    """Returns a loopback port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def fetch(method: str, url: str, body: Any = None, token: str = "") -> Any:
+    """Makes a JSON call and returns the decoded answer, whatever its status."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    request.add_header("Content-Type", "application/json")
+    if token:
+        request.add_header("Authorization", f"Bearer {token}")
+    try:
+        with urllib.request.urlopen(request, timeout=30) as answer:
+            return json.loads(answer.read() or b"{}")
+    except urllib.error.HTTPError as error:
+        return json.loads(error.read() or b"{}")
+
+
+class Deployment:
+    """Stand-ins and daemons, each a process of its own."""
+
+    def __init__(
+        self,
+        fleet: str = "queensland",
+        daemons: int = 3,
+        environment: dict[str, str] | None = None,
+    ) -> None:
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="mimosaridge-"))
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.environment = environment or {}
+        self.store_url = f"http://127.0.0.1:{free_port()}"
+        self.workers_url = f"http://127.0.0.1:{free_port()}"
+        self.hosts_url = f"http://127.0.0.1:{free_port()}"
+        self.hosts = getattr(fleets, fleet)(self.workers_url)
+        self.zones = sorted({host["zone"] for host in self.hosts})
+        self.addresses: dict[str, tuple[str, str]] = {}
+        for number in range(daemons):
+            self.addresses[f"daemon-{number}"] = (
+                f"127.0.0.1:{free_port()}",
+                f"127.0.0.1:{free_port()}",
+            )
+
+    def start(self) -> None:
+        """Starts all processes and waits until every shard has an owner."""
+        fleet = self.folder / "fleet.json"
+        fleet.write_text(json.dumps(self.hosts))
+        self._standin("store", self.store_url)
+        self._standin("workers", self.workers_url, f"--fleet={fleet}")
+        self._standin("hostlist", self.hosts_url, f"--fleet={fleet}")
+        for name in self.addresses:
+            self.start_daemon(name)
+        self.wait_ready()
+
+    def _standin(self, name: str, url: str, *more: str) -> None:
+        listen = url.removeprefix("http://")
+        self._spawn(
+            name,
+            [
+                sys.executable,
+                "-m",
+                "mimosaridge_standins.main",
+                name,
+                f"--listen={listen}",
+                *more,
+            ],
+            {},
+        )
+
+    def _spawn(
+        self, name: str, command: list[str], environment: dict[str, str]
+    ) -> None:
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        self.processes[name] = subprocess.Popen(
+            command,
+            stdout=log,
+            stderr=log,
+            env=os.environ | environment,
+            start_new_session=True,
+        )
+        log.close()
+
+    def start_daemon(self, name: str) -> None:
+        """Starts a daemon."""
+        http, peer = self.addresses[name]
+        position = list(self.addresses).index(name)
+        settings = {
+            "NAME": name,
+            "ZONE": self.zones[position % len(self.zones)],
+            "LISTEN_HTTP": http,
+            "LISTEN_PEER": peer,
+            "STORE_URL": self.store_url,
+            "HOSTS_URL": self.hosts_url,
+            "PEER_SECRET": PEER_SECRET,
+            "BOOTSTRAP_KEY": BOOTSTRAP_KEY,
+        }
+        environment = {f"MIMOSARIDGE_{k}": v for k, v in settings.items()}
+        command = [sys.executable, "-m", "mimosaridge_daemon.main"]
+        self._spawn(name, command, environment | self.environment)
+
+    def url(self, name: str = "daemon-0") -> str:
+        """Returns the HTTP address of a daemon."""
+        return "http://" + self.addresses[name][0]
+
+    def status(self, name: str = "daemon-0") -> Any:
+        """Returns the status as a daemon tells it, or None if it is silent."""
+        try:
+            answer = fetch(
+                "GET", self.url(name) + "/v1/status", token=BOOTSTRAP_KEY
+            )
+        except OSError:
+            return None
+        return answer.get("status")
+
+    def wait_ready(self, names: tuple[str, ...] = ()) -> None:
+        """Waits until the named daemons see all shards ready.
+
+        Raises:
+            TimeoutError: It did not happen in time.
+        """
+        expected = names or tuple(self.addresses)
+        shards = {host["zone"] for host in self.hosts}
+        deadline = time.time() + START_S
+        while time.time() < deadline:
+            states = [self.status(name) for name in expected]
+            if all(
+                state
+                and len(state["live"]) == len(expected)
+                and {s["zone"] for s in state["shards"] if s["ready"]} >= shards
+                and all(shard["ready"] for shard in state["shards"])
+                and sum("bucket" in name for name in state["owners"]) == 16
+                for state in states
+            ):
+                return
+            time.sleep(0.1)
+        raise TimeoutError(f"not ready; the logs are in {self.folder}")
+
+    def pid(self, name: str) -> int:
+        """Returns the process id of a process."""
+        return self.processes[name].pid
+
+    def kill(self, name: str) -> None:
+        """Kills a process."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def pause(self, name: str) -> None:
+        """Stops a process without ending it."""
+        os.kill(self.pid(name), signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Lets a paused process go on."""
+        os.kill(self.pid(name), signal.SIGCONT)
+
+    def terminate(self, name: str) -> int:
+        """Asks a process to shut down and returns its exit code."""
+        self.processes[name].terminate()
+        return self.processes[name].wait(timeout=STOP_S)
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
--- /dev/null
+++ b/standins/mimosaridge_standins/workers.py
@@ -0,0 +1,332 @@
+"""Stand-in of many workers in one process.
+
+A task's body is JSON: run_s (seconds), answer_bytes (padding of the answer),
+fail (a reason). Its answer is JSON with the worker's name, the body's echo
+and padding.
+"""
+
+import base64
+import collections
+import dataclasses
+import json
+import time
+from typing import Any
+
+import bottle
+import gevent
+from gevent import event as gevent_event
+
+from mimosaridge_standins import serving
+
+SWEEP_S = 0.2
+AMOUNTS = (
+    "cpu_millis",
+    "memory_mib",
+    "accelerators",
+    "slots",
+    "connections",
+)
+
+
+@dataclasses.dataclass
+class Run:
+    """A task that runs or has ended."""
+
+    label: dict[str, Any]
+    started_at: float
+    timer: Any = None
+    ended: bool = False
+    ok: bool = False
+    detail: str = ""
+    answer: str = ""
+
+
+@dataclasses.dataclass
+class Faults:
+    """What goes wrong on one worker.
+
+    Attributes:
+        frozen: Calls wait and answer nothing.
+        fail_all: Every task fails as soon as it starts.
+        lose_starts: This many starts take effect and answer with an error.
+        silent: Open connections go silent; new ones work.
+    """
+
+    frozen: bool = False
+    fail_all: bool = False
+    lose_starts: int = 0
+    silent: bool = False
+
+
+class Worker:
+    """One worker."""
+
+    def __init__(self, worker_id: str, capacity: dict[str, int]) -> None:
+        self.worker_id = worker_id
+        self.capacity = capacity
+        self.epoch = 0
+        self.owner = ""
+        self.claim = 0
+        self.lease_s = 10.0
+        self.lease_until = 0.0
+        self.leaving = False
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.ended: collections.deque = collections.deque(maxlen=20_000)
+        self.sequence = 0
+        self.changed = gevent_event.Event()
+        self.faults = Faults()
+        self.starts: list[tuple[float, str, int]] = []
+        self.most_used = dict.fromkeys(AMOUNTS, 0)
+        self.overcommits = 0
+
+    def used(self) -> dict[str, int]:
+        """Returns what running tasks use."""
+        used = dict.fromkeys(AMOUNTS, 0)
+        for run in self.runs.values():
+            if not run.ended:
+                for name in AMOUNTS:
+                    used[name] += run.label["needs"][name]
+        return used
+
+    def start(self, label: dict[str, Any]) -> None:
+        """Runs a task."""
+        key = (label["task_id"], label["attempt"])
+        run = Run(label, time.time())
+        self.runs[key] = run
+        self.starts.append((run.started_at, *key))
+        used = self.used()
+        if any(used[name] > self.capacity[name] for name in AMOUNTS):
+            self.overcommits += 1
+        for name in AMOUNTS:
+            self.most_used[name] = max(self.most_used[name], used[name])
+        self._begin(key, run)
+
+    def _begin(self, key: tuple[str, int], run: Run) -> None:
+        raw = base64.b64decode(run.label["body"])
+        try:
+            wishes = json.loads(raw) if raw else {}
+        except ValueError:
+            wishes = {}
+        if self.faults.fail_all:
+            self.finish(key, False, "this worker fails everything")
+            return
+        if run.label["kind"] == "service":
+            return
+        answer = {
+            "worker": self.worker_id,
+            "echo": wishes,
+            "padding": "x" * wishes.get("answer_bytes", 0),
+        }
+        reason = wishes.get("fail", "")
+        run.timer = gevent.spawn_later(
+            wishes.get("run_s", 0.0),
+            self.finish,
+            key,
+            not reason,
+            reason,
+            json.dumps(answer).encode(),
+        )
+
+    def finish(
+        self, key: tuple[str, int], ok: bool, detail: str, answer: bytes = b""
+    ) -> None:
+        """Ends a task and reports it."""
+        run = self.runs.get(key)
+        if run is None or run.ended:
+            return
+        run.ended = True
+        run.ok = ok
+        run.detail = detail
+        run.answer = base64.b64encode(answer).decode()
+        self.sequence += 1
+        self.ended.append((self.sequence, key))
+        self.changed.set()
+        self.changed.clear()
+
+    def stop(self, key: tuple[str, int], detail: str) -> None:
+        """Stops a task that runs."""
+        run = self.runs.get(key)
+        if run is not None and not run.ended:
+            if run.timer is not None:
+                run.timer.kill(block=False)
+            self.finish(key, False, detail)
+
+    def sweep(self) -> None:
+        """Stops all tasks once the leases have lapsed."""
+        if self.lease_until and self.lease_until < time.time():
+            for key in list(self.runs):
+                self.stop(key, "its lease lapsed")
+
+    def report(self, key: tuple[str, int]) -> dict[str, Any]:
+        """Describes a task."""
+        run = self.runs[key]
+        return {
+            "task_id": key[0],
+            "attempt": key[1],
+            "label": run.label,
+            "ended": run.ended,
+            "ok": run.ok,
+            "detail": run.detail,
+            "answer": run.answer,
+        }
+
+
+def build(workers: dict[str, Worker]) -> bottle.Bottle:
+    """Returns the HTTP application."""
+    app = bottle.Bottle()
+
+    def enter(worker_id: str) -> Worker:
+        worker = workers[worker_id]
+        while worker.faults.frozen:
+            gevent.sleep(0.1)
+        return worker
+
+    def stale(worker: Worker, content: dict[str, Any]) -> bool:
+        return content["epoch"] != worker.epoch
+
+    @app.post("/workers/<worker_id>/claim")
+    def claim(worker_id: str) -> str:
+        worker = enter(worker_id)
+        content = serving.body()
+        if content["epoch"] < worker.epoch:
+            return serving.answer(409, epoch=worker.epoch)
+        worker.epoch = content["epoch"]
+        worker.owner = content["owner"]
+        worker.lease_s = content["lease_s"]
+        worker.lease_until = time.time() + worker.lease_s
+        worker.claim += 1
+        worker.changed.set()
+        worker.changed.clear()
+        return serving.answer(
+            200,
+            claim=worker.claim,
+            cursor=worker.sequence,
+            leaving=worker.leaving,
+            tasks=[worker.report(key) for key in worker.runs],
+        )
+
+    @app.post("/workers/<worker_id>/start")
+    def start(worker_id: str) -> str:
+        worker = enter(worker_id)
+        content = serving.body()
+        label = content["label"]
+        key = (label["task_id"], label["attempt"])
+        if stale(worker, content) or content["claim"] != worker.claim:
+            return serving.answer(409, epoch=worker.epoch)
+        if label["start_before"] <= time.time():
+            return serving.answer(410)
+        if key not in worker.runs:
+            used = worker.used()
+            if any(
+                used[name] + label["needs"][name] > worker.capacity[name]
+                for name in AMOUNTS
+            ):
+                return serving.answer(507)
+            worker.start(label)
+        if worker.faults.lose_starts > 0:
+            worker.faults.lose_starts -= 1
+            return serving.answer(504)
+        return serving.answer(200)
+
+    @app.post("/workers/<worker_id>/stop")
+    def stop(worker_id: str) -> str:
+        worker = enter(worker_id)
+        content = serving.body()
+        if stale(worker, content):
+            return serving.answer(409, epoch=worker.epoch)
+        worker.stop((content["task_id"], content["attempt"]), "stopped")
+        return serving.answer(200)
+
+    @app.post("/workers/<worker_id>/forget")
+    def forget(worker_id: str) -> str:
+        worker = enter(worker_id)
+        content = serving.body()
+        key = (content["task_id"], content["attempt"])
+        run = worker.runs.get(key)
+        if run is not None and run.ended:
+            del worker.runs[key]
+        return serving.answer(200)
+
+    @app.get("/workers/<worker_id>/events")
+    def events(worker_id: str) -> str:
+        worker = enter(worker_id)
+        query = bottle.request.query
+        epoch, after = int(query.epoch), int(query.after)
+        deadline = time.time() + float(query.wait_s)
+        while True:
+            if epoch != worker.epoch:
+                return serving.answer(409, epoch=worker.epoch)
+            worker.lease_until = max(
+                worker.lease_until, time.time() + worker.lease_s
+            )
+            found = [key for number, key in worker.ended if number > after]
+            left = deadline - time.time()
+            if found or left <= 0 or worker.leaving and left < 4:
+                break
+            worker.changed.wait(left)
+            while worker.faults.frozen or worker.faults.silent:
+                gevent.sleep(0.1)
+        return serving.answer(
+            200,
+            cursor=worker.sequence,
+            leaving=worker.leaving,
+            ended=[worker.report(key) for key in found if key in worker.runs],
+        )
+
+    @app.post("/workers/<worker_id>/faults")
+    def faults(worker_id: str) -> str:
+        for name, value in serving.body().items():
+            setattr(workers[worker_id].faults, name, value)
+        return serving.answer(200)
+
+    @app.post("/workers/<worker_id>/leaving")
+    def leaving(worker_id: str) -> str:
+        worker = workers[worker_id]
+        worker.leaving = bool(serving.body().get("leaving", True))
+        worker.changed.set()
+        worker.changed.clear()
+        return serving.answer(200)
+
+    @app.get("/state")
+    def state() -> str:
+        return serving.answer(
+            200,
+            workers={
+                worker.worker_id: {
+                    "owner": worker.owner,
+                    "epoch": worker.epoch,
+                    "capacity": worker.capacity,
+                    "used": worker.used(),
+                    "most_used": worker.most_used,
+                    "overcommits": worker.overcommits,
+                    "running": [
+                        list(key)
+                        for key, run in worker.runs.items()
+                        if not run.ended
+                    ],
+                    "starts": worker.starts,
+                }
+                for worker in workers.values()
+            },
+        )
+
+    return app
+
+
+def _sweep(workers: dict[str, Worker]) -> None:
+    while True:
+        gevent.sleep(SWEEP_S)
+        for worker in workers.values():
+            worker.sweep()
+
+
+def run(listen: str, fleet: str) -> None:
+    """Serves all workers of a fleet file on IP:PORT."""
+    with open(fleet, encoding="utf-8") as file:
+        hosts = json.load(file)
+    workers = {
+        host["worker_id"]: Worker(host["worker_id"], host["capacity"])
+        for host in hosts
+    }
+    gevent.spawn(_sweep, workers)
+    serving.serve(listen, build(workers))
--- /dev/null
+++ b/tests/daemon/test_codec.py
@@ -0,0 +1,68 @@
+"""Values survive encoding, and bad bytes are refused."""
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies
+import testtools
+
+from mimosaridge_core import codes
+from mimosaridge_core import documents
+from mimosaridge_core import messages
+from mimosaridge_core import resources
+from mimosaridge_core import works
+from mimosaridge_daemon import codec
+
+
+def _work(body: bytes) -> works.Work:
+    return works.Work(
+        "id",
+        "a",
+        works.Kind.BATCH,
+        1,
+        resources.Resources(slots=1),
+        "",
+        True,
+        works.Urgency.URGENT,
+        10.0,
+        1.0,
+        0.0,
+        body,
+    )
+
+
+class CodecTest(testtools.TestCase):
+    """Peer messages and documents."""
+
+    @given(strategies.binary())
+    def test_a_message_survives(self, body):
+        message = messages.WorkSettled(
+            "id", works.Outcome(codes.Code.OK, "fine", body)
+        )
+        data = codec.encode_message("d0", message)
+        self.assertEqual(("d0", message), codec.decode_message(data))
+
+    @given(strategies.binary())
+    def test_a_ledger_survives(self, body):
+        outcome = works.Outcome(codes.Code.UNKNOWN, "", body)
+        ledger = documents.Ledger(
+            "d0",
+            "w",
+            {
+                "id": documents.Entry(
+                    _work(body), [documents.Assignment(1, "s", outcome)]
+                )
+            },
+        )
+        encoded = codec.encode_document(ledger)
+        decoded = codec.decode_document("ledgers/bucket-00", encoded)
+        self.assertEqual(ledger, decoded)
+
+    @given(strategies.binary())
+    def test_bad_bytes_are_refused(self, data):
+        self.assertRaises(
+            codec.MalformedError, codec.decode_message, b"\xff" + data
+        )
+
+    def test_a_message_of_unknown_type_is_refused(self):
+        data = cbor2.dumps(["Nothing", "d0", {}])
+        self.assertRaises(codec.MalformedError, codec.decode_message, data)
--- /dev/null
+++ b/tests/scenarios/conftest.py
@@ -0,0 +1,103 @@
+"""Steps shared by all scenarios over real processes."""
+
+import base64
+import json
+import time
+
+import pytest
+import pytest_bdd
+import uuid6
+
+from mimosaridge_core import keys
+from mimosaridge_standins import deployments
+
+SALT = "00ff"
+
+
+class Scene:
+    """A deployment and what a scenario has done with it."""
+
+    def __init__(self, fleet: str, daemons: int) -> None:
+        self.deployment = deployments.Deployment(fleet, daemons)
+        self.deployment.start()
+        self.answers = []
+        self.work_id = ""
+
+    def change(self, name: str, daemon: str = "daemon-0", **arguments):
+        """Plans and confirms a change."""
+        url = self.deployment.url(daemon)
+        intent = {"change": name, "arguments": arguments}
+        plan = self.post(url + "/v1/plans", intent)["plan"]
+        return self.post(
+            url + "/v1/confirmations",
+            {
+                "intent": intent,
+                "base_number": plan["base_number"],
+                "expires_at": plan["expires_at"],
+                "change_id": str(uuid6.uuid7()),
+            },
+        )
+
+    def post(self, url: str, body, token: str = deployments.BOOTSTRAP_KEY):
+        """Posts to a daemon."""
+        return deployments.fetch("POST", url, body, token)
+
+    def grant(self, team: str) -> None:
+        """Creates a team with the key "k-TEAM.secret"."""
+        self.change("create-team", team=team, workspace="north")
+        self.change(
+            "grant-key",
+            key_id=f"k-{team}",
+            role="team",
+            team=team,
+            salt=SALT,
+            digest=keys.digest(SALT, "secret"),
+        )
+
+    def submit(self, team: str, daemon: str = "daemon-0", **fields):
+        """Submits work and returns the answer."""
+        task = json.dumps(fields.pop("task", {})).encode()
+        work = {
+            "work_id": str(uuid6.uuid7()),
+            "team": team,
+            "start_before": time.time() + 20.0,
+            "body": base64.b64encode(task).decode(),
+        }
+        token = fields.pop("token", f"k-{team}.secret")
+        url = self.deployment.url(daemon) + "/v1/work"
+        return self.post(url, work | fields, token)
+
+    def explained(self, work_id: str, daemon: str = "daemon-0") -> str:
+        """Returns the sentences of an explanation."""
+        url = f"{self.deployment.url(daemon)}/v1/explain/{work_id}"
+        answer = deployments.fetch("GET", url, token=deployments.BOOTSTRAP_KEY)
+        records = answer.get("explanation", {"records": []})["records"]
+        return " ".join(record["text"] for record in records)
+
+
+@pytest.fixture
+def scenes():
+    """Makes scenes and ends their processes."""
+    made = []
+
+    def make(fleet: str, daemons: int) -> Scene:
+        scene = Scene(fleet, daemons)
+        made.append(scene)
+        return scene
+
+    yield make
+    for scene in made:
+        scene.deployment.stop()
+
+
+@pytest_bdd.given(
+    pytest_bdd.parsers.parse("a {fleet} deployment with {count:d} daemons"),
+    target_fixture="scene",
+)
+def _deployment(scenes, fleet, count):
+    return scenes(fleet, count)
+
+
+@pytest_bdd.given(pytest_bdd.parsers.parse("a team {team} with a key"))
+def _team(scene, team):
+    scene.grant(team)
--- /dev/null
+++ b/tests/test_style.py
@@ -0,0 +1,45 @@
+"""House rules that the linter does not know."""
+
+import ast
+import pathlib
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent
+SOURCES = sorted(
+    path
+    for folder in ("packages", "standins", "bench", "tests")
+    for path in (ROOT / folder).rglob("*.py")
+    if "build" not in path.parts
+)
+NAMES_ALLOWED_FROM = {
+    "typing",
+    "collections.abc",
+    "hypothesis",
+    "hypothesis.stateful",
+}
+
+
+def _is_module(name: str, part: str) -> bool:
+    import importlib.util
+
+    try:
+        return importlib.util.find_spec(f"{name}.{part}") is not None
+    except (ImportError, AttributeError):
+        return False
+
+
+@pytest.mark.parametrize(
+    "path", SOURCES, ids=lambda path: str(path.relative_to(ROOT))
+)
+def test_modules_are_imported_not_names(path):
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    names = [
+        f"{node.module}.{alias.name}"
+        for node in ast.walk(tree)
+        if isinstance(node, ast.ImportFrom)
+        and node.module not in NAMES_ALLOWED_FROM
+        for alias in node.names
+        if not _is_module(node.module, alias.name)
+    ]
+    assert names == []
