--- /dev/null
+++ b/packages/core/mimosaridge_core/buckets.py
@@ -0,0 +1,30 @@
+"""Which bucket, and which daemon, answers for a piece of work."""
+
+from mimosaridge_core import hashing
+from mimosaridge_core import settling
+from mimosaridge_core import state
+from mimosaridge_core import works
+
+PREFIX = "bucket-"
+
+
+def bucket_name(position: int) -> str:
+    """Returns the name of a bucket."""
+    return f"{PREFIX}{position:02d}"
+
+
+def bucket_of(st: state.State, work_id: str) -> str:
+    """Returns the bucket that answers for some work."""
+    return bucket_name(hashing.number_of(work_id) % st.tuning.buckets)
+
+
+def home_of(st: state.State, work: works.Work) -> str:
+    """Returns the home of work that is submitted here."""
+    if work.kind == works.Kind.REQUEST and work.idempotent:
+        return st.name
+    return bucket_of(st, work.work_id)
+
+
+def owner_of(st: state.State, home: str) -> str:
+    """Returns the daemon that answers for a home; empty if unknown."""
+    return settling.home_daemon(st, home)
--- a/packages/core/mimosaridge_core/dispatch.py
+++ b/packages/core/mimosaridge_core/dispatch.py
@@ -11,13 +11,16 @@
 EVENTS: dict[type, Handler] = {}
 MESSAGES: dict[type, Handler] = {}
 ANSWERS: dict[type, Handler] = {}
-TICKS: list[Callable[[state.State, Outbox], None]] = []
+KEYS: dict[str, Handler] = {}
+TICKS: list[Handler] = []
+CONFIGURED: list[Handler] = []
+HOSTS_LISTED: list[Handler] = []
 
 
-def _register(table: dict[type, Handler], kind: type) -> Callable:
+def _register(table: dict, kind: type | str) -> Callable:
     def decorate(handler: Handler) -> Handler:
         if kind in table:
-            raise ValueError(f"{kind.__name__} has a handler already")
+            raise ValueError(f"{kind} has a handler already")
         table[kind] = handler
         return handler
 
@@ -39,6 +42,23 @@
     return _register(ANSWERS, kind)
 
 
+def watches(prefix: str) -> Callable:
+    """Registers handler(state, event, out) for changes of store keys."""
+    return _register(KEYS, prefix)
+
+
+def when_configured(handler: Handler) -> Handler:
+    """Registers handler(state, out), called for each new configuration."""
+    CONFIGURED.append(handler)
+    return handler
+
+
+def when_hosts_listed(handler: Handler) -> Handler:
+    """Registers handler(state, out), called for each host list."""
+    HOSTS_LISTED.append(handler)
+    return handler
+
+
 def every_tick(handler: Callable) -> Callable:
     """Registers handler(state, out), called at every tick in import order."""
     TICKS.append(handler)
--- /dev/null
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -0,0 +1,159 @@
+"""Sending tasks to shards, and sending them again until they are settled."""
+
+import heapq
+
+from mimosaridge_core import account
+from mimosaridge_core import codes
+from mimosaridge_core import dispatch
+from mimosaridge_core import effects
+from mimosaridge_core import ledgers
+from mimosaridge_core import messages
+from mimosaridge_core import outcomes
+from mimosaridge_core import routing
+from mimosaridge_core import state
+from mimosaridge_core import works
+
+FIRST_RETRY_S = 0.1
+
+
+def dispatch_all(st: state.State, work: state.HomeWork, out: list) -> None:
+    """Sends every task that has no shard yet."""
+    for index, task in enumerate(work.tasks):
+        if task.phase == works.Phase.PENDING:
+            assign(st, work, index, out)
+
+
+def assign(
+    st: state.State, work: state.HomeWork, index: int, out: list
+) -> None:
+    """Chooses a shard for a task and sends it, once that is recorded."""
+    spec = work.entry.work
+    assignment = work.entry.assignments[index]
+    shard = routing.choose(
+        st, spec.endpoint, spec.needs, frozenset((assignment.shard,))
+    )
+    if not shard:
+        set_timer(st, st.now + FIRST_RETRY_S, work, index)
+        return
+    assignment.shard = shard
+    assignment.attempt += 1
+    task = work.tasks[index]
+    task.phase = works.Phase.PLACING
+    task.sent = False
+    bucket = st.buckets.get(work.home)
+    if bucket is None:
+        send_task(st, work, index, out)
+        return
+    bucket.dirty = True
+    bucket.unsent.append((spec.work_id, index))
+
+
+def send_task(
+    st: state.State, work: state.HomeWork, index: int, out: list
+) -> None:
+    """Sends an attempt to its shard's owner, and again until it answers."""
+    spec = work.entry.work
+    assignment = work.entry.assignments[index]
+    task = work.tasks[index]
+    view = st.views.get(assignment.shard)
+    set_timer(st, st.now + st.tuning.resend_s, work, index)
+    if view is None:
+        return
+    text = f"Sent to {view.owner}, owner of {assignment.shard}."
+    task_id = f"{spec.work_id}/{index}"
+    if not task.sent or task.epoch != view.epoch:
+        state.note(st, out, account.Rule.ROUTING, text, spec.work_id, task_id)
+    message = messages.PlaceTask(
+        assignment.shard,
+        routing.task_of(spec, index, assignment.attempt, work.home),
+        hold=spec.kind == works.Kind.GANG,
+        resent=task.sent,
+    )
+    task.sent = True
+    task.epoch = view.epoch
+    out.append(effects.SendPeer(view.owner, message))
+
+
+def send_cancel(
+    st: state.State, work: state.HomeWork, index: int, out: list
+) -> None:
+    """Asks the owner of a task's shard to drop or stop it."""
+    assignment = work.entry.assignments[index]
+    view = st.views.get(assignment.shard)
+    if view is not None:
+        task_id = f"{work.entry.work.work_id}/{index}"
+        message = messages.CancelTask(
+            assignment.shard, task_id, assignment.attempt
+        )
+        out.append(effects.SendPeer(view.owner, message))
+
+
+def set_timer(
+    st: state.State, at: float, work: state.HomeWork, index: int
+) -> None:
+    """Has a task, or with a negative index the work, looked at again."""
+    work_id = work.entry.work.work_id
+    heapq.heappush(st.timers, (at, st.next_number(), work_id, index))
+
+
+@dispatch.every_tick
+def _timers(st: state.State, out: list) -> None:
+    while st.timers and st.timers[0][0] <= st.now:
+        _, _, work_id, index = heapq.heappop(st.timers)
+        work = st.works.get(work_id)
+        if work is None:
+            continue
+        if index < 0:
+            _work_timer(st, work, out)
+        elif work.entry.outcome is None:
+            _task_timer(st, work, index, out)
+    for bucket in list(st.buckets.values()):
+        ledgers.flush(st, bucket, out)
+
+
+def _work_timer(st: state.State, work: state.HomeWork, out: list) -> None:
+    entry = work.entry
+    if entry.outcome is None:
+        if all(task.phase == works.Phase.PENDING for task in work.tasks):
+            outcome = works.Outcome(
+                codes.Code.DEADLINE_PASSED,
+                "No shard took it before its deadline.",
+            )
+            outcomes.settle(st, work, outcome, out)
+        return
+    if entry.settled_at + st.tuning.retention_s > st.now:
+        return
+    del st.works[entry.work.work_id]
+    bucket = st.buckets.get(work.home)
+    if bucket is not None:
+        bucket.ledger.entries.pop(entry.work.work_id, None)
+        bucket.dirty = True
+
+
+def _task_timer(
+    st: state.State, work: state.HomeWork, index: int, out: list
+) -> None:
+    task = work.tasks[index]
+    if task.phase == works.Phase.PENDING:
+        if work.entry.cancelled:
+            outcomes.cancel(st, work, out)
+        elif work.entry.work.start_before <= st.now:
+            outcomes.give_up(st, work, index, out)
+        else:
+            assign(st, work, index, out)
+    elif task.phase in (works.Phase.PLACING, works.Phase.HELD):
+        if task.sent:
+            send_task(st, work, index, out)
+    elif task.phase == works.Phase.RUNNING:
+        _follow_owner(st, work, index, out)
+
+
+def _follow_owner(
+    st: state.State, work: state.HomeWork, index: int, out: list
+) -> None:
+    """Asks a shard's new owner for a task that runs."""
+    view = st.views.get(work.entry.assignments[index].shard)
+    if view is not None and view.epoch != work.tasks[index].epoch:
+        send_task(st, work, index, out)
+    else:
+        set_timer(st, st.now + st.tuning.resend_s, work, index)
--- /dev/null
+++ b/packages/core/mimosaridge_core/expiry.py
@@ -0,0 +1,73 @@
+"""Deadlines that an owner keeps: of waiting and held tasks and of leases."""
+
+from mimosaridge_core import codes
+from mimosaridge_core import dispatch
+from mimosaridge_core import rooms
+from mimosaridge_core import scheduling
+from mimosaridge_core import settling
+from mimosaridge_core import state
+from mimosaridge_core import works
+
+
+@dispatch.every_tick
+def _look_after(st: state.State, out: list) -> None:
+    for shard in st.shards.values():
+        _resend_ended(st, shard, out)
+        _expire_waiting(st, shard, out)
+        _expire_held(st, shard, out)
+        _expire_leases(st, shard, out)
+
+
+def _resend_ended(st: state.State, shard: state.Shard, out: list) -> None:
+    for key, ended in list(shard.ended.items()):
+        if ended.until <= st.now:
+            del shard.ended[key]
+            settling.forget(shard, ended, out)
+        elif ended.resend_at <= st.now:
+            settling.send_ended(st, ended, out)
+
+
+def _expire_waiting(st: state.State, shard: state.Shard, out: list) -> None:
+    for waiting in shard.queue.overdue(st.now):
+        outcome = works.Outcome(
+            codes.Code.DEADLINE_PASSED,
+            f"It waited in {shard.name} until its deadline.",
+        )
+        settling.settle(
+            st, shard, waiting.task, works.Phase.NOT_RUN, outcome, "", out
+        )
+
+
+def _expire_held(st: state.State, shard: state.Shard, out: list) -> None:
+    freed = False
+    for worker in shard.workers.values():
+        for key, placed in list(worker.placed.items()):
+            if placed.phase != works.Phase.HELD:
+                continue
+            if placed.hold_until <= st.now:
+                rooms.give_room(shard, worker, key)
+                settling.settle_cancelled(st, shard, placed.task, out)
+                freed = True
+    if freed:
+        scheduling.schedule(st, shard, out)
+
+
+def _expire_leases(st: state.State, shard: state.Shard, out: list) -> None:
+    for worker in shard.workers.values():
+        if worker.reachable or worker.lease_ends >= st.now:
+            continue
+        for key, placed in list(worker.placed.items()):
+            rooms.give_room(shard, worker, key)
+            outcome = works.Outcome(
+                codes.Code.UNKNOWN,
+                f"Worker {worker.host.worker_id} is gone and its lease ended.",
+            )
+            settling.settle(
+                st,
+                shard,
+                placed.task,
+                works.Phase.UNKNOWN,
+                outcome,
+                "",
+                out,
+            )
--- a/packages/core/mimosaridge_core/ingress.py
+++ b/packages/core/mimosaridge_core/ingress.py
@@ -3,6 +3,7 @@
 import uuid
 
 from mimosaridge_core import account
+from mimosaridge_core import buckets
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import effects
@@ -89,7 +90,7 @@
     )
     waiter = st.waiters.get(work.work_id)
     if waiter is None:
-        home = homes.home_of(st, work)
+        home = buckets.home_of(st, work)
         waiter = state.Waiter(work, home, {}, 0.0)
         st.waiters[work.work_id] = waiter
     waiter.handles[event.handle] = event.wait
@@ -101,7 +102,7 @@
     if waiter.home == st.name:
         homes.accept(st, waiter.work, st.name, out)
         return
-    owner = homes.owner_of(st, waiter.home)
+    owner = buckets.owner_of(st, waiter.home)
     if owner:
         forward = messages.ForwardWork(waiter.work)
         out.append(effects.SendPeer(owner, forward))
@@ -167,7 +168,7 @@
     if holder is None:
         out.append(effects.Reply(event.handle, codes.Code.BAD_KEY))
         return
-    owner = homes.owner_of(st, homes.bucket_of(st, event.work_id))
+    owner = buckets.owner_of(st, buckets.bucket_of(st, event.work_id))
     if event.cancel and owner:
         cancel = messages.CancelWork(event.work_id)
         out.append(effects.SendPeer(owner, cancel))
--- /dev/null
+++ b/packages/core/mimosaridge_core/ledgers.py
@@ -0,0 +1,247 @@
+"""The ledgers of the buckets that this daemon holds."""
+
+import dataclasses
+
+from mimosaridge_core import account
+from mimosaridge_core import codes
+from mimosaridge_core import dispatch
+from mimosaridge_core import dispatching
+from mimosaridge_core import documents
+from mimosaridge_core import effects
+from mimosaridge_core import events
+from mimosaridge_core import messages
+from mimosaridge_core import outcomes
+from mimosaridge_core import services
+from mimosaridge_core import state
+from mimosaridge_core import works
+
+
+@dataclasses.dataclass(slots=True)
+class LedgerRead:
+    """The ledger of a bucket is being read."""
+
+    partition: str
+    epoch: int
+
+
+@dataclasses.dataclass(slots=True)
+class LedgerWritten:
+    """A ledger is being written.
+
+    Attributes:
+        bucket: The bucket.
+        epoch: Epoch of the owner that writes.
+        write_id: Names the write.
+        unsent: Tasks to be sent once it is written.
+        untaken: Updates to be confirmed once it is written.
+        reading_back: Whether the answer was lost and the key is being read.
+    """
+
+    bucket: str
+    epoch: int
+    write_id: str
+    unsent: list[tuple[str, int]]
+    untaken: list[tuple[str, messages.UpdateTaken]]
+    reading_back: bool = False
+
+
+def acquire(st: state.State, name: str, epoch: int, out: list) -> None:
+    """Takes a bucket under an epoch and reads its ledger."""
+    bucket = st.buckets.get(name)
+    if bucket is not None:
+        bucket.epoch = epoch
+        bucket.releasing = False
+        return
+    st.buckets[name] = state.Bucket(name, epoch)
+    _read_ledger(st, name, epoch, out)
+
+
+def _read_ledger(st: state.State, name: str, epoch: int, out: list) -> None:
+    number = st.next_number()
+    st.operations[number] = LedgerRead(name, epoch)
+    out.append(effects.StoreRead(number, documents.LEDGERS + name))
+
+
+@dispatch.answers(LedgerRead)
+def _ledger_read(
+    st: state.State,
+    operation: LedgerRead,
+    event: events.StoreAnswered,
+    out: list,
+) -> None:
+    bucket = st.buckets.get(operation.partition)
+    if bucket is None or bucket.loaded:
+        return
+    if event.result == "unknown":
+        _read_ledger(st, bucket.name, bucket.epoch, out)
+        return
+    bucket.ledger = event.value or documents.Ledger()
+    bucket.revision = event.revision
+    bucket.loaded = True
+    for entry in bucket.ledger.entries.values():
+        _resume(st, bucket, entry, out)
+    services.sync_services(st, out)
+
+
+def _resume(
+    st: state.State,
+    bucket: state.Bucket,
+    entry: documents.Entry,
+    out: list,
+) -> None:
+    tasks = [state.TaskState() for _ in entry.assignments]
+    work = state.HomeWork(entry, bucket.name, tasks, recorded=True)
+    st.works[entry.work.work_id] = work
+    if entry.outcome is not None:
+        dispatching.set_timer(
+            st, entry.settled_at + st.tuning.retention_s, work, -1
+        )
+        return
+    for index, assignment in enumerate(entry.assignments):
+        task = tasks[index]
+        if assignment.outcome is not None:
+            task.phase = _final_phase(assignment.outcome.code)
+        elif assignment.shard:
+            task.phase = works.Phase.PLACING
+            task.sent = True
+            dispatching.set_timer(st, st.now, work, index)
+        else:
+            dispatching.set_timer(st, st.now, work, index)
+    if entry.cancelled:
+        outcomes.cancel(st, work, out)
+
+
+def _final_phase(code: codes.Code) -> works.Phase:
+    if code == codes.Code.OK:
+        return works.Phase.DONE
+    if code == codes.Code.UNKNOWN:
+        return works.Phase.UNKNOWN
+    if codes.is_not_run(code):
+        return works.Phase.NOT_RUN
+    return works.Phase.FAILED
+
+
+def drop(st: state.State, name: str, out: list) -> None:
+    """Forgets a bucket; its next owner reads the ledger."""
+    del st.buckets[name]
+    gone = [key for key, work in st.works.items() if work.home == name]
+    for work_id in gone:
+        del st.works[work_id]
+
+
+def flush(st: state.State, bucket: state.Bucket, out: list) -> None:
+    """Writes a ledger that has changed, if no write of it is on its way."""
+    if not bucket.dirty or bucket.writing or st.now < bucket.flush_at:
+        return
+    bucket.dirty = False
+    bucket.writing = True
+    bucket.flush_at = st.now + st.tuning.flush_s
+    number = st.next_number()
+    write_id = f"{st.name}/{bucket.epoch}/{number}"
+    bucket.ledger.writer = st.name
+    bucket.ledger.write_id = write_id
+    st.operations[number] = LedgerWritten(
+        bucket.name, bucket.epoch, write_id, bucket.unsent, bucket.untaken
+    )
+    bucket.unsent = []
+    bucket.untaken = []
+    key = documents.LEDGERS + bucket.name
+    out.append(effects.StoreWrite(number, key, bucket.ledger, bucket.revision))
+
+
+@dispatch.answers(LedgerWritten)
+def _ledger_written(
+    st: state.State,
+    operation: LedgerWritten,
+    event: events.StoreAnswered,
+    out: list,
+) -> None:
+    bucket = st.buckets.get(operation.bucket)
+    if bucket is None or not bucket.writing:
+        return
+    if event.result == "unknown":
+        operation.reading_back = True
+        number = st.next_number()
+        st.operations[number] = operation
+        key = documents.LEDGERS + bucket.name
+        out.append(effects.StoreRead(number, key))
+        return
+    if operation.reading_back:
+        ours = (
+            event.value is not None
+            and event.value.write_id == operation.write_id
+        )
+        if not ours and event.revision == bucket.revision:
+            _write_again(st, bucket, operation, out)
+            return
+        event.result = "ok" if ours else "conflict"
+    if event.result == "conflict":
+        _displaced(st, bucket, out)
+        return
+    bucket.writing = False
+    bucket.revision = event.revision
+    _recorded(st, bucket, operation, out)
+    flush(st, bucket, out)
+
+
+def _write_again(
+    st: state.State,
+    bucket: state.Bucket,
+    operation: LedgerWritten,
+    out: list,
+) -> None:
+    bucket.writing = False
+    bucket.dirty = True
+    bucket.unsent = operation.unsent + bucket.unsent
+    bucket.untaken = operation.untaken + bucket.untaken
+    flush(st, bucket, out)
+
+
+def _displaced(st: state.State, bucket: state.Bucket, out: list) -> None:
+    """Another daemon wrote the ledger: what it says now is what counts."""
+    name, epoch = bucket.name, bucket.epoch
+    state.note(
+        st,
+        out,
+        account.Rule.OWNERSHIP,
+        f"The ledger of {name} was written by another daemon; read again.",
+        epoch=epoch,
+    )
+    drop(st, name, out)
+    st.buckets[name] = state.Bucket(name, epoch)
+    _read_ledger(st, name, epoch, out)
+
+
+def _recorded(
+    st: state.State,
+    bucket: state.Bucket,
+    operation: LedgerWritten,
+    out: list,
+) -> None:
+    for sender, taken in operation.untaken:
+        out.append(effects.SendPeer(sender, taken))
+    for work_id, index in operation.unsent:
+        work = st.works.get(work_id)
+        if work is None:
+            continue
+        if not work.recorded:
+            work.recorded = True
+            _announce(st, bucket, work, out)
+        if work.tasks[index].phase == works.Phase.PLACING:
+            dispatching.send_task(st, work, index, out)
+
+
+def _announce(
+    st: state.State, bucket: state.Bucket, work: state.HomeWork, out: list
+) -> None:
+    work_id = work.entry.work.work_id
+    state.note(
+        st,
+        out,
+        account.Rule.RECORDED,
+        f"Recorded in {bucket.name}.",
+        work_id,
+        code=codes.Code.ACCEPTED,
+    )
+    for origin in sorted(work.origins):
+        out.append(effects.SendPeer(origin, messages.WorkAccepted(work_id)))
--- a/packages/core/mimosaridge_core/membership.py
+++ b/packages/core/mimosaridge_core/membership.py
@@ -64,20 +64,24 @@
 @dispatch.handles(events.StoreChanged)
 def _changed(st: state.State, event: events.StoreChanged, out: list) -> None:
     st.store_heard_at = st.now
-    if event.key == documents.CONFIG_KEY:
-        if event.value is not None:
-            adopt(st, event.value, event.revision, out)
-    elif event.key.startswith(documents.DAEMONS):
-        _daemon_changed(st, event)
-    elif event.key.startswith(documents.PARTITIONS):
-        st.partitions_at = 0.0
-        OWNERSHIP_LISTENERS[0](st, event, out)
+    prefix, slash, _ = event.key.partition("/")
+    handler = dispatch.KEYS.get(prefix + slash)
+    if handler is not None:
+        handler(st, event, out)
 
 
-OWNERSHIP_LISTENERS: list = []
+@dispatch.watches(documents.CONFIG_KEY)
+def _config_changed(
+    st: state.State, event: events.StoreChanged, out: list
+) -> None:
+    if event.value is not None:
+        adopt(st, event.value, event.revision, out)
 
 
-def _daemon_changed(st: state.State, event: events.StoreChanged) -> None:
+@dispatch.watches(documents.DAEMONS)
+def _daemon_changed(
+    st: state.State, event: events.StoreChanged, out: list
+) -> None:
     name = event.key.removeprefix(documents.DAEMONS)
     if name == st.name:
         return
@@ -106,24 +110,18 @@
         account.Rule.CONFIGURATION,
         f"Configuration {config.number} is in force here.",
     )
-    for listener in CONFIG_LISTENERS:
+    for listener in dispatch.CONFIGURED:
         listener(st, out)
 
 
-CONFIG_LISTENERS: list = []
-
-
 @dispatch.handles(events.HostsListed)
 def _hosts(st: state.State, event: events.HostsListed, out: list) -> None:
     st.hosts = {host.worker_id: host for host in event.hosts}
     st.fleet = resources.total([host.capacity for host in event.hosts])
-    for listener in HOST_LISTENERS:
+    for listener in dispatch.HOSTS_LISTED:
         listener(st, out)
 
 
-HOST_LISTENERS: list = []
-
-
 @dispatch.receives(messages.Heartbeat)
 def _heartbeat(
     st: state.State, sender: str, message: messages.Heartbeat, out: list
--- a/packages/core/mimosaridge_core/partitions.py
+++ b/packages/core/mimosaridge_core/partitions.py
@@ -7,14 +7,15 @@
 import dataclasses
 
 from mimosaridge_core import account
+from mimosaridge_core import buckets
 from mimosaridge_core import dispatch
 from mimosaridge_core import documents
 from mimosaridge_core import effects
 from mimosaridge_core import events
 from mimosaridge_core import hashing
-from mimosaridge_core import homes
-from mimosaridge_core import membership
+from mimosaridge_core import ledgers
 from mimosaridge_core import messages
+from mimosaridge_core import rooms
 from mimosaridge_core import shards
 from mimosaridge_core import state
 
@@ -77,22 +78,21 @@
     )
 
 
+@dispatch.when_configured
+@dispatch.when_hosts_listed
 def rename(st: state.State, out: list) -> None:
     """Derives the partitions from the host list and the configuration."""
     names = {
-        shards.shard_of(host, st.config.shards_per_zone)
+        rooms.shard_of(host, st.config.shards_per_zone)
         for host in st.hosts.values()
     }
-    buckets = (homes.bucket_name(i) for i in range(st.tuning.buckets))
-    st.partition_names = (*sorted(names), *buckets)
+    numbers = range(st.tuning.buckets)
+    bucket_names = (buckets.bucket_name(number) for number in numbers)
+    st.partition_names = (*sorted(names), *bucket_names)
     for shard in st.shards.values():
         shards.sync_workers(st, shard, out)
 
 
-membership.HOST_LISTENERS.append(rename)
-membership.CONFIG_LISTENERS.append(rename)
-
-
 @dispatch.every_tick
 def _keep_lease(st: state.State, out: list) -> None:
     if st.now < st.renew_at:
@@ -209,10 +209,10 @@
         f"{st.name} now holds {partition}.",
         epoch=epoch,
     )
-    if partition.startswith(shards.PREFIX):
+    if partition.startswith(rooms.PREFIX):
         shards.acquire(st, partition, epoch, out)
     else:
-        homes.acquire(st, partition, epoch, out)
+        ledgers.acquire(st, partition, epoch, out)
 
 
 def _release(st: state.State, partition: str, heir: str, out: list) -> None:
@@ -273,12 +273,14 @@
     if partition in st.shards:
         shards.drop(st, partition, out)
     else:
-        homes.drop(st, partition, out)
+        ledgers.drop(st, partition, out)
 
 
+@dispatch.watches(documents.PARTITIONS)
 def _ownership_changed(
     st: state.State, event: events.StoreChanged, out: list
 ) -> None:
+    st.partitions_at = 0.0
     partition = event.key.removeprefix(documents.PARTITIONS)
     view = st.views.get(partition)
     if event.value is None:
@@ -292,9 +294,6 @@
         drop(st, partition, out)
 
 
-membership.OWNERSHIP_LISTENERS.append(_ownership_changed)
-
-
 @dispatch.handles(events.DrainAsked)
 def _drain(st: state.State, event: events.DrainAsked, out: list) -> None:
     st.draining = True
--- /dev/null
+++ b/packages/core/mimosaridge_core/placing.py
@@ -0,0 +1,155 @@
+"""What homes ask of the owner of a shard."""
+
+from mimosaridge_core import codes
+from mimosaridge_core import dispatch
+from mimosaridge_core import effects
+from mimosaridge_core import messages
+from mimosaridge_core import queueing
+from mimosaridge_core import rooms
+from mimosaridge_core import scheduling
+from mimosaridge_core import settling
+from mimosaridge_core import state
+from mimosaridge_core import summaries
+from mimosaridge_core import works
+
+
+@dispatch.receives(messages.PlaceTask)
+def _place(
+    st: state.State, sender: str, message: messages.PlaceTask, out: list
+) -> None:
+    shard = st.shards.get(message.shard)
+    if shard is None or shard.releasing:
+        return
+    task = message.task
+    key = (task.task_id, task.attempt)
+    if _repeat(st, shard, key, out):
+        return
+    unknown = [
+        worker
+        for worker in shard.workers.values()
+        if not summaries.is_known(st, worker)
+    ]
+    if message.resent and unknown:
+        return
+    if message.resent and not task.idempotent and _has_unheard(shard):
+        outcome = works.Outcome(
+            codes.Code.UNKNOWN, "A worker that may have run it is gone."
+        )
+        settling.settle(st, shard, task, works.Phase.UNKNOWN, outcome, "", out)
+        return
+    _enqueue(st, shard, sender, message, out)
+
+
+def _has_unheard(shard: state.Shard) -> bool:
+    return any(not worker.heard for worker in shard.workers.values())
+
+
+def _repeat(
+    st: state.State, shard: state.Shard, key: state.TaskKey, out: list
+) -> bool:
+    """Answers a message about a task that is known already."""
+    if key in shard.ended:
+        shard.ended[key].resend_at = st.now
+        return True
+    worker_id = shard.places.get(key)
+    if worker_id is not None:
+        worker = shard.workers[worker_id]
+        placed = worker.placed[key]
+        if placed.phase in (works.Phase.RUNNING, works.Phase.HELD):
+            settling.tell(st, shard, placed.task, placed.phase, worker, out)
+        return True
+    return key in shard.queue.waiting
+
+
+def _enqueue(
+    st: state.State,
+    shard: state.Shard,
+    sender: str,
+    message: messages.PlaceTask,
+    out: list,
+) -> None:
+    task = message.task
+    refusal = _refusal(st, shard, task)
+    if refusal is not None:
+        settling.settle(st, shard, task, works.Phase.NOT_RUN, refusal, "", out)
+        return
+    waiting = queueing.Waiting(task, message.hold, sender, st.now)
+    shard.queue.add(waiting)
+    scheduling.schedule(st, shard, out)
+    if message.hold and (task.task_id, task.attempt) in shard.queue.waiting:
+        shard.queue.remove((task.task_id, task.attempt))
+        outcome = works.Outcome(
+            codes.Code.NO_ROOM, f"{shard.name} has no room to reserve now."
+        )
+        settling.settle(st, shard, task, works.Phase.NOT_RUN, outcome, "", out)
+
+
+def _refusal(
+    st: state.State, shard: state.Shard, task: works.Task
+) -> works.Outcome | None:
+    if task.start_before <= st.now:
+        return works.Outcome(
+            codes.Code.DEADLINE_PASSED, "Its deadline passed in transit."
+        )
+    if shard.zone in st.config.zones_out:
+        return works.Outcome(
+            codes.Code.NOT_RUN, f"Zone {shard.zone} was taken out."
+        )
+    if len(shard.queue) >= st.tuning.queue_limit:
+        return works.Outcome(
+            codes.Code.OVERLOADED, f"{shard.name} has a full queue."
+        )
+    return None
+
+
+@dispatch.receives(messages.StartHeld)
+def _start_held(
+    st: state.State, sender: str, message: messages.StartHeld, out: list
+) -> None:
+    shard = st.shards.get(message.shard)
+    key = (message.task_id, message.attempt)
+    if shard is None or key not in shard.places:
+        return
+    worker = shard.workers[shard.places[key]]
+    if worker.placed[key].phase == works.Phase.HELD:
+        scheduling.send_start(shard, worker, worker.placed[key], out)
+
+
+@dispatch.receives(messages.CancelTask)
+def _cancel(
+    st: state.State, sender: str, message: messages.CancelTask, out: list
+) -> None:
+    shard = st.shards.get(message.shard)
+    if shard is None:
+        return
+    key = (message.task_id, message.attempt)
+    waiting = shard.queue.remove(key)
+    if waiting is not None:
+        settling.settle_cancelled(st, shard, waiting.task, out)
+        return
+    if key not in shard.places:
+        return
+    worker = shard.workers[shard.places[key]]
+    placed = worker.placed[key]
+    if placed.phase == works.Phase.HELD:
+        rooms.give_room(shard, worker, key)
+        settling.settle_cancelled(st, shard, placed.task, out)
+        scheduling.schedule(st, shard, out)
+        return
+    placed.stopping = True
+    stop = effects.StopTask(
+        worker.host.worker_id, worker.host.url, shard.epoch, *key
+    )
+    out.append(stop)
+
+
+@dispatch.receives(messages.UpdateTaken)
+def _taken(
+    st: state.State, sender: str, message: messages.UpdateTaken, out: list
+) -> None:
+    shard = st.shards.get(message.shard)
+    if shard is None:
+        return
+    ended = shard.ended.pop((message.task_id, message.attempt), None)
+    if ended is not None:
+        settling.forget(shard, ended, out)
--- a/packages/core/mimosaridge_core/reducer.py
+++ b/packages/core/mimosaridge_core/reducer.py
@@ -1,21 +1,34 @@
 """The single door: reduce(state, event) returns effects."""
 
 from mimosaridge_core import dispatch
+from mimosaridge_core import dispatching
 from mimosaridge_core import events
+from mimosaridge_core import expiry
 from mimosaridge_core import homes
 from mimosaridge_core import ingress
+from mimosaridge_core import ledgers
 from mimosaridge_core import membership
 from mimosaridge_core import operators
+from mimosaridge_core import outcomes
 from mimosaridge_core import partitions
+from mimosaridge_core import placing
 from mimosaridge_core import reports
-from mimosaridge_core import shards
+from mimosaridge_core import services
 from mimosaridge_core import state
+from mimosaridge_core import workerreports
 
+# Importing them registers their handlers; ticks are handled in this order.
 HANDLER_MODULES = (
     membership,
     partitions,
-    shards,
+    workerreports,
+    placing,
+    expiry,
     homes,
+    ledgers,
+    dispatching,
+    outcomes,
+    services,
     ingress,
     operators,
     reports,
--- /dev/null
+++ b/packages/core/mimosaridge_core/rooms.py
@@ -0,0 +1,67 @@
+"""Room on the workers of a shard, and which worker is in which shard."""
+
+from mimosaridge_core import events
+from mimosaridge_core import hashing
+from mimosaridge_core import resources
+from mimosaridge_core import state
+from mimosaridge_core import summaries
+
+PREFIX = "shard-"
+
+
+def shard_of(host: events.Host, shards_per_zone: int) -> str:
+    """Returns the shard of a worker."""
+    position = hashing.number_of(host.worker_id) % shards_per_zone
+    return f"{PREFIX}{host.zone}-{position}"
+
+
+def find_worker(
+    st: state.State, worker_id: str, epoch: int
+) -> tuple[state.Shard, state.Worker] | None:
+    """Returns a worker that this daemon owns under an epoch, with its shard."""
+    host = st.hosts.get(worker_id)
+    if host is None:
+        return None
+    shard = st.shards.get(shard_of(host, st.config.shards_per_zone))
+    if shard is None or shard.epoch != epoch:
+        return None
+    worker = shard.workers.get(worker_id)
+    return (shard, worker) if worker else None
+
+
+def take_room(
+    shard: state.Shard, worker: state.Worker, placed: state.Placed
+) -> None:
+    """Counts a task against its worker and its team."""
+    task = placed.task
+    key = (task.task_id, task.attempt)
+    worker.placed[key] = placed
+    worker.free = worker.free - task.needs
+    shard.places[key] = worker.host.worker_id
+    used = shard.team_use.get(task.team, resources.ZERO)
+    shard.team_use[task.team] = used + task.needs
+    reindex(shard, worker)
+
+
+def give_room(
+    shard: state.Shard, worker: state.Worker, key: state.TaskKey
+) -> state.Placed | None:
+    """Returns a task's room; does nothing if it takes none."""
+    placed = worker.placed.pop(key, None)
+    if placed is None:
+        return None
+    task = placed.task
+    worker.free = worker.free + task.needs
+    shard.places.pop(key, None)
+    shard.team_use[task.team] = shard.team_use[task.team] - task.needs
+    reindex(shard, worker)
+    return placed
+
+
+def reindex(shard: state.Shard, worker: state.Worker) -> None:
+    """Brings the placement index in line with what a worker has free."""
+    host = worker.host
+    if summaries.takes_work(worker):
+        shard.index.put(host.endpoint, host.worker_id, worker.free)
+    else:
+        shard.index.drop(host.endpoint, host.worker_id)
