Act as an owner only while no newer owner can be unknown

Cause: a paused or cut-off owner settled tasks as lost, renewed task leases and started tasks after another daemon had taken its shard; a new owner counted its predecessor's leases as ended too early; reports of unlisted workers were dropped; a claim whose answer was lost left a shard without an owner. Ruled out: a longer lease alone (a paused owner still acts on waking).

--- a/packages/core/mimosaridge_core/codes.py
+++ b/packages/core/mimosaridge_core/codes.py
@@ -16,6 +16,7 @@
     CANCELLED = 105
     UNKNOWN = 200
     TASK_FAILED = 201
+    MOVED = 202
     BAD_INPUT = 300
     TOO_LARGE = 301
     BAD_KEY = 302
@@ -54,6 +55,7 @@
         " effect before sending it again."
     ),
     Code.TASK_FAILED: "It ran and failed; the detail carries the reason.",
+    Code.MOVED: "It was stopped, to start again on another worker.",
     Code.BAD_INPUT: "The input is malformed; the detail names each field.",
     Code.TOO_LARGE: "The input is larger than this daemon takes.",
     Code.BAD_KEY: "The key is missing, unknown or withdrawn.",
--- a/packages/core/mimosaridge_core/effects.py
+++ b/packages/core/mimosaridge_core/effects.py
@@ -99,13 +99,23 @@
 
 @dataclasses.dataclass(slots=True)
 class StartTask:
-    """Starts a task on a worker."""
+    """Starts a task on a worker.
+
+    Attributes:
+        worker_id: The worker.
+        url: Where it is reached.
+        epoch: The owner's epoch.
+        claim: Number of the owner's claim.
+        task: The task.
+        start_before: When the worker must refuse it, seconds since the epoch.
+    """
 
     worker_id: str
     url: str
     epoch: int
     claim: int
     task: works.Task
+    start_before: float
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/events.py
+++ b/packages/core/mimosaridge_core/events.py
@@ -70,7 +70,21 @@
 
 @dataclasses.dataclass(slots=True)
 class StoreHeard(Event):
-    """The store has answered a watch; what is known is up to date."""
+    """The store has answered a watch of the configuration.
+
+    Attributes:
+        asked_at: When the call was made, seconds since the epoch; all changes
+            up to then are known.
+    """
+
+    asked_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class PeerRefused(Event):
+    """A peer's host answers that no process listens there."""
+
+    daemon: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -174,11 +188,14 @@
         worker_id: The worker.
         epoch: Epoch under which it was called.
         code: STALE_EPOCH or WORKER_UNREACHABLE.
+        called_at: Latest time at which the worker may have taken a call that
+            renewed its leases, seconds since the epoch.
     """
 
     worker_id: str
     epoch: int
     code: codes.Code
+    called_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/expiry.py
+++ b/packages/core/mimosaridge_core/expiry.py
@@ -6,6 +6,7 @@
 from mimosaridge_core import scheduling
 from mimosaridge_core import settling
 from mimosaridge_core import state
+from mimosaridge_core import tenure
 from mimosaridge_core import works
 
 
@@ -53,11 +54,20 @@
 
 
 def _expire_leases(st: state.State, shard: state.Shard, out: list) -> None:
+    if not tenure.may_own(st, shard):
+        return
     for worker in shard.workers.values():
-        if worker.reachable or worker.lease_ends >= st.now:
+        if worker.heard and worker.reachable or worker.displaced:
+            continue
+        if worker.lease_ends >= st.now:
             continue
         for key, placed in list(worker.placed.items()):
             rooms.give_room(shard, worker, key)
+            if placed.stray:
+                continue
+            if placed.phase == works.Phase.HELD:
+                settling.settle_cancelled(st, shard, placed.task, out)
+                continue
             outcome = works.Outcome(
                 codes.Code.UNKNOWN,
                 f"Worker {worker.host.worker_id} is gone and its lease ended.",
--- a/packages/core/mimosaridge_core/membership.py
+++ b/packages/core/mimosaridge_core/membership.py
@@ -7,7 +7,9 @@
 from mimosaridge_core import effects
 from mimosaridge_core import events
 from mimosaridge_core import messages
+from mimosaridge_core import partitions
 from mimosaridge_core import resources
+from mimosaridge_core import shards
 from mimosaridge_core import state
 from mimosaridge_core import summaries
 
@@ -36,19 +38,17 @@
     return member
 
 
-@dispatch.handles(events.StoreHeard)
-def _store_heard(st: state.State, event: events.StoreHeard, out: list) -> None:
-    st.store_heard_at = st.now
-
-
 @dispatch.handles(events.StoreListed)
 def _listed(st: state.State, event: events.StoreListed, out: list) -> None:
-    st.store_heard_at = st.now
     if event.prefix == documents.DAEMONS:
         for member in st.members.values():
             member.listed = False
     if event.prefix == documents.PARTITIONS:
         st.listed = True
+        for name in st.views.keys() - {
+            key.removeprefix(documents.PARTITIONS) for key in event.values
+        }:
+            st.freed[name] = event.revision
         st.views = {
             name: view
             for name, view in st.views.items()
@@ -63,7 +63,6 @@
 
 @dispatch.handles(events.StoreChanged)
 def _changed(st: state.State, event: events.StoreChanged, out: list) -> None:
-    st.store_heard_at = st.now
     prefix, slash, _ = event.key.partition("/")
     handler = dispatch.KEYS.get(prefix + slash)
     if handler is not None:
@@ -116,6 +115,7 @@
 
 @dispatch.handles(events.HostsListed)
 def _hosts(st: state.State, event: events.HostsListed, out: list) -> None:
+    shards.remember_unlisted(st, event.hosts)
     st.hosts = {host.worker_id: host for host in event.hosts}
     st.fleet = resources.total([host.capacity for host in event.hosts])
     for listener in dispatch.HOSTS_LISTED:
@@ -129,19 +129,30 @@
     if sender == st.name:
         return
     member = _member(st, sender, message.url, message.zone)
-    member.heard_until = st.now + st.tuning.member_timeout_s
+    _heard(st, member, message)
     member.draining = message.draining
     member.config_number = message.config_number
     member.epochs = message.epochs
     member.summaries = {item.shard: item for item in message.summaries}
-    for partition, epoch in message.epochs.items():
-        known = st.views.get(partition)
-        if known is None or known.epoch < epoch:
-            st.views[partition] = state.View(sender, epoch)
+    partitions.hear_epochs(st, sender, message.epochs, out)
+    for summary in message.summaries:
+        shards.hear_unlisted(st, summary)
     if message.config_number > st.config.number:
         out.append(effects.SendPeer(sender, messages.AskConfig()))
 
 
+def _heard(
+    st: state.State, member: state.Member, message: messages.Heartbeat
+) -> None:
+    """Counts a heartbeat from when it was sent: it may have waited long."""
+    sent_at = min(st.now, message.sent_at + st.tuning.skew_s)
+    until = sent_at + st.tuning.member_timeout_s
+    member.heard_until = max(member.heard_until, until)
+    member.gone = member.gone and until <= st.now
+    if message.config_number == st.config.number:
+        st.confirmed_at = max(st.confirmed_at, message.confirmed_at)
+
+
 @dispatch.receives(messages.AskConfig)
 def _ask_config(
     st: state.State, sender: str, message: messages.AskConfig, out: list
@@ -171,6 +182,8 @@
         {name: shard.epoch for name, shard in st.shards.items()}
         | {name: bucket.epoch for name, bucket in st.buckets.items()},
         [summaries.summarize(st, shard) for shard in st.shards.values()],
+        st.now,
+        st.confirmed_at,
     )
     for member in st.members.values():
         out.append(effects.SendPeer(member.name, heartbeat))
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -4,6 +4,7 @@
 
 from mimosaridge_core import account
 from mimosaridge_core import configuration
+from mimosaridge_core import events
 from mimosaridge_core import resources
 from mimosaridge_core import works
 
@@ -39,6 +40,7 @@
         queued: Tasks waiting in it.
         rooms: One for each endpoint.
         team_use: Resources that each team has running.
+        unlisted: Workers that still run tasks and left the host list.
     """
 
     shard: str
@@ -48,6 +50,7 @@
     queued: int
     rooms: list[Room]
     team_use: dict[str, resources.Resources]
+    unlisted: list[events.Host] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,6 +64,8 @@
         draining: Whether it is shutting down.
         epochs: Partitions that it holds, with their epochs.
         summaries: Its shards.
+        sent_at: When it was sent, seconds since the epoch.
+        confirmed_at: Up to when that configuration is known to be the latest.
     """
 
     url: str
@@ -69,6 +74,8 @@
     draining: bool
     epochs: dict[str, int]
     summaries: list[ShardSummary]
+    sent_at: float
+    confirmed_at: float
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -151,6 +151,8 @@
     spec = work.entry.work
     if spec.kind == works.Kind.SERVICE:
         return True
+    if message.outcome.code == codes.Code.MOVED:
+        return True
     if message.phase == works.Phase.NOT_RUN:
         return spec.start_before > st.now
     if not spec.idempotent or message.phase == works.Phase.DONE:
@@ -169,7 +171,11 @@
 ) -> None:
     task = work.tasks[index]
     task.phase = works.Phase.PENDING
-    task.failures += 1
+    if message.outcome.code == codes.Code.MOVED:
+        spec = work.entry.work
+        spec.start_before = max(spec.start_before, st.now + st.tuning.move_s)
+    else:
+        task.failures += 1
     ceiling = min(
         LONGEST_RETRY_S, dispatching.FIRST_RETRY_S * 2 ** min(task.failures, 8)
     )
--- a/packages/core/mimosaridge_core/partitions.py
+++ b/packages/core/mimosaridge_core/partitions.py
@@ -25,9 +25,15 @@
 
 @dataclasses.dataclass(slots=True)
 class ClaimSent:
-    """A claim of a partition is on its way."""
+    """A claim of a partition is on its way.
+
+    Attributes:
+        partition: The partition.
+        lease_id: Store lease that the key goes with.
+    """
 
     partition: str
+    lease_id: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,9 +113,12 @@
     if event.result == "lost":
         st.lease_id = ""
         st.renew_at = 0.0
-    elif event.result == "ok" and event.lease_id != st.lease_id:
-        st.lease_id = event.lease_id
-        _register(st, out)
+        st.lease_until = 0.0
+    elif event.result == "ok":
+        st.lease_until = event.asked_at + st.tuning.store_lease_s
+        if event.lease_id != st.lease_id:
+            st.lease_id = event.lease_id
+            _register(st, out)
 
 
 def _register(st: state.State, out: list) -> None:
@@ -142,31 +151,42 @@
         view = st.views.get(partition)
         if _pending(st, partition):
             continue
-        if (
-            owner == st.name
-            and view is None
-            and (settled or st.draining)
-            or _holds(st, partition)
-            and view is None
-            and not st.draining
-        ):
-            _claim(st, partition, out)
-        elif (
-            _holds(st, partition)
-            and owner != st.name
-            and settled
-            or st.draining
-            and _holds(st, partition)
-        ):
+        if st.draining:
+            if _holds(st, partition) or _is_mine(st, view):
+                _release(st, partition, owner, out)
+        elif view is None:
+            if _holds(st, partition) or owner == st.name and settled:
+                _claim(st, partition, 0, out)
+        elif _is_mine(st, view) and not _is_leased(st, partition):
+            _claim(st, partition, view.epoch, out)
+        elif _holds(st, partition) and owner != st.name and settled:
             _release(st, partition, owner, out)
 
 
-def _claim(st: state.State, partition: str, out: list) -> None:
+def _is_mine(st: state.State, view: state.View | None) -> bool:
+    return view is not None and view.owner == st.name
+
+
+def _is_leased(st: state.State, partition: str) -> bool:
+    """Tells whether a partition is held and goes with the present lease."""
+    held = st.shards.get(partition) or st.buckets.get(partition)
+    return held is not None and held.lease_id == st.lease_id
+
+
+def _claim(st: state.State, partition: str, expected: int, out: list) -> None:
+    """Claims a partition that is free, or its own again under a new epoch."""
     number = st.next_number()
-    st.operations[number] = ClaimSent(partition)
+    st.operations[number] = ClaimSent(partition, st.lease_id)
     key = documents.PARTITIONS + partition
     value = documents.Ownership(st.name)
-    out.append(effects.StoreWrite(number, key, value, 0, leased=True))
+    out.append(effects.StoreWrite(number, key, value, expected, leased=True))
+
+
+def claim_again(st: state.State, partition: str, out: list) -> None:
+    """Asks for a newer epoch: a worker has heard one that is newer still."""
+    view = st.views.get(partition)
+    if _is_mine(st, view) and not st.draining and not _pending(st, partition):
+        _claim(st, partition, view.epoch, out)
 
 
 @dispatch.answers(ClaimSent)
@@ -177,7 +197,8 @@
     out: list,
 ) -> None:
     if event.result == "ok":
-        _acquire(st, operation.partition, event.revision, out)
+        held = operation.lease_id
+        _acquire(st, operation.partition, event.revision, held, out)
     elif event.result == "unknown":
         number = st.next_number()
         st.operations[number] = ReadBack(operation.partition)
@@ -194,12 +215,23 @@
 ) -> None:
     if event.result != "ok" or event.value is None:
         return
-    if event.value.owner == st.name:
-        _acquire(st, operation.partition, event.revision, out)
+    known = st.views.get(operation.partition)
+    if known is None or known.epoch < event.revision:
+        st.views[operation.partition] = state.View(
+            event.value.owner, event.revision
+        )
 
 
-def _acquire(st: state.State, partition: str, epoch: int, out: list) -> None:
-    if epoch <= _epoch(st, partition):
+def _acquire(
+    st: state.State, partition: str, epoch: int, lease_id: str, out: list
+) -> None:
+    view = st.views.get(partition)
+    newest = max(
+        _epoch(st, partition),
+        st.freed.get(partition, 0),
+        view.epoch if view and view.owner != st.name else 0,
+    )
+    if epoch <= newest:
         return
     st.views[partition] = state.View(st.name, epoch)
     state.note(
@@ -211,8 +243,10 @@
     )
     if partition.startswith(rooms.PREFIX):
         shards.acquire(st, partition, epoch, out)
+        st.shards[partition].lease_id = lease_id
     else:
         ledgers.acquire(st, partition, epoch, out)
+        st.buckets[partition].lease_id = lease_id
 
 
 def _release(st: state.State, partition: str, heir: str, out: list) -> None:
@@ -221,12 +255,13 @@
         bucket.releasing = True
         if bucket.dirty or bucket.writing or not bucket.loaded:
             return
-    else:
+    elif partition in st.shards:
         st.shards[partition].releasing = True
     number = st.next_number()
     st.operations[number] = ReleaseSent(partition, heir)
     key = documents.PARTITIONS + partition
-    epoch = _epoch(st, partition)
+    view = st.views.get(partition)
+    epoch = _epoch(st, partition) or view.epoch
     out.append(effects.StoreWrite(number, key, None, epoch))
 
 
@@ -249,11 +284,29 @@
 def _peer_released(
     st: state.State, sender: str, message: messages.Released, out: list
 ) -> None:
-    view = st.views.get(message.partition)
+    """Takes what a peer has given up for this daemon, without settling."""
+    partition = message.partition
+    view = st.views.get(partition)
     if view is not None and view.owner == sender:
-        del st.views[message.partition]
-    st.partitions_at = 0.0
-    _check(st, out)
+        st.freed[partition] = max(st.freed.get(partition, 0), view.epoch)
+        del st.views[partition]
+    free = partition not in st.views and not _pending(st, partition)
+    if free and st.lease_id and not st.draining:
+        _claim(st, partition, 0, out)
+
+
+def hear_epochs(
+    st: state.State, sender: str, epochs: dict[str, int], out: list
+) -> None:
+    """Takes a peer's word on what it holds, unless something newer is known."""
+    for partition, epoch in epochs.items():
+        known = st.views.get(partition)
+        if epoch <= st.freed.get(partition, 0):
+            continue
+        if known is None or known.epoch < epoch:
+            st.views[partition] = state.View(sender, epoch)
+            if 0 < _epoch(st, partition) < epoch:
+                drop(st, partition, out)
 
 
 def drop(st: state.State, partition: str, out: list) -> None:
@@ -284,6 +337,7 @@
     partition = event.key.removeprefix(documents.PARTITIONS)
     view = st.views.get(partition)
     if event.value is None:
+        st.freed[partition] = event.revision
         if view is not None and view.epoch < event.revision:
             del st.views[partition]
         return
@@ -297,14 +351,20 @@
 @dispatch.handles(events.DrainAsked)
 def _drain(st: state.State, event: events.DrainAsked, out: list) -> None:
     st.draining = True
+    st.drain_at = st.drain_at or st.now
     st.heartbeat_at = 0.0
     st.partitions_at = 0.0
 
 
 @dispatch.every_tick
 def _finish_drain(st: state.State, out: list) -> None:
-    if not st.draining or st.waiters or st.works:
-        return
-    if st.shards or st.buckets:
+    if not st.draining or st.waiters:
         return
-    out.append(effects.Shutdown())
+    held = [*st.shards, *st.buckets]
+    silent = st.store_heard_at < st.now - st.tuning.stale_config_s
+    if held and silent and st.drain_at + st.tuning.drain_s <= st.now:
+        for partition in held:
+            drop(st, partition, out)
+        held = []
+    if not held:
+        out.append(effects.Shutdown())
--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -2,14 +2,15 @@
 
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
-from mimosaridge_core import effects
 from mimosaridge_core import messages
 from mimosaridge_core import queueing
 from mimosaridge_core import rooms
 from mimosaridge_core import scheduling
 from mimosaridge_core import settling
 from mimosaridge_core import state
+from mimosaridge_core import stopping
 from mimosaridge_core import summaries
+from mimosaridge_core import tenure
 from mimosaridge_core import works
 
 
@@ -111,8 +112,24 @@
     if shard is None or key not in shard.places:
         return
     worker = shard.workers[shard.places[key]]
-    if worker.placed[key].phase == works.Phase.HELD:
-        scheduling.send_start(shard, worker, worker.placed[key], out)
+    placed = worker.placed[key]
+    if placed.phase != works.Phase.HELD:
+        return
+    if _may_start_held(st, shard, worker):
+        scheduling.send_start(st, shard, worker, placed, out)
+        return
+    rooms.give_room(shard, worker, key)
+    settling.settle_cancelled(st, shard, placed.task, out)
+
+
+def _may_start_held(
+    st: state.State, shard: state.Shard, worker: state.Worker
+) -> bool:
+    return (
+        summaries.takes_work(worker)
+        and shard.zone not in st.config.zones_out
+        and tenure.may_start(st, shard)
+    )
 
 
 @dispatch.receives(messages.CancelTask)
@@ -136,11 +153,7 @@
         settling.settle_cancelled(st, shard, placed.task, out)
         scheduling.schedule(st, shard, out)
         return
-    placed.stopping = True
-    stop = effects.StopTask(
-        worker.host.worker_id, worker.host.url, shard.epoch, *key
-    )
-    out.append(stop)
+    stopping.send_stop(st, shard, worker, placed, out)
 
 
 @dispatch.receives(messages.UpdateTaken)
--- a/packages/core/mimosaridge_core/reducer.py
+++ b/packages/core/mimosaridge_core/reducer.py
@@ -15,15 +15,19 @@
 from mimosaridge_core import reports
 from mimosaridge_core import services
 from mimosaridge_core import state
+from mimosaridge_core import stopping
+from mimosaridge_core import tenure
 from mimosaridge_core import workerreports
 
 # Importing them registers their handlers; ticks are handled in this order.
 HANDLER_MODULES = (
     membership,
+    tenure,
     partitions,
     workerreports,
     placing,
     expiry,
+    stopping,
     homes,
     ledgers,
     dispatching,
--- a/packages/core/mimosaridge_core/rooms.py
+++ b/packages/core/mimosaridge_core/rooms.py
@@ -19,14 +19,10 @@
     st: state.State, worker_id: str, epoch: int
 ) -> tuple[state.Shard, state.Worker] | None:
     """Returns a worker that this daemon owns under an epoch, with its shard."""
-    host = st.hosts.get(worker_id)
-    if host is None:
-        return None
-    shard = st.shards.get(shard_of(host, st.config.shards_per_zone))
-    if shard is None or shard.epoch != epoch:
-        return None
-    worker = shard.workers.get(worker_id)
-    return (shard, worker) if worker else None
+    for shard in st.shards.values():
+        if shard.epoch == epoch and worker_id in shard.workers:
+            return shard, shard.workers[worker_id]
+    return None
 
 
 def take_room(
@@ -37,7 +33,8 @@
     key = (task.task_id, task.attempt)
     worker.placed[key] = placed
     worker.free = worker.free - task.needs
-    shard.places[key] = worker.host.worker_id
+    if not placed.stray:
+        shard.places[key] = worker.host.worker_id
     used = shard.team_use.get(task.team, resources.ZERO)
     shard.team_use[task.team] = used + task.needs
     reindex(shard, worker)
@@ -52,7 +49,8 @@
         return None
     task = placed.task
     worker.free = worker.free + task.needs
-    shard.places.pop(key, None)
+    if not placed.stray:
+        shard.places.pop(key, None)
     shard.team_use[task.team] = shard.team_use[task.team] - task.needs
     reindex(shard, worker)
     return placed
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -7,6 +7,7 @@
 from mimosaridge_core import rooms
 from mimosaridge_core import settling
 from mimosaridge_core import state
+from mimosaridge_core import tenure
 from mimosaridge_core import works
 
 
@@ -14,6 +15,8 @@
     """Places waiting tasks: by urgency, then the team furthest below share."""
     if shard.releasing or shard.zone in st.config.zones_out:
         return
+    if not tenure.may_start(st, shard):
+        return
     for urgency in works.Urgency:
         lanes = shard.queue.open_lanes(urgency)
         while lanes:
@@ -51,11 +54,12 @@
         f" after {waited_ms:.0f} ms in {shard.name}."
     )
     settling.note_task(st, shard, task, account.Rule.PLACEMENT, text, out)
-    send_start(shard, worker, placed, out)
+    send_start(st, shard, worker, placed, out)
     return True
 
 
 def send_start(
+    st: state.State,
     shard: state.Shard,
     worker: state.Worker,
     placed: state.Placed,
@@ -70,5 +74,6 @@
             shard.epoch,
             worker.claim,
             placed.task,
+            min(placed.task.start_before, st.now + st.tuning.start_s),
         )
     )
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -28,6 +28,7 @@
         zone: Its availability zone.
         heard_until: Deadline after which it counts as gone.
         listed: Whether the store lists it.
+        gone: Whether its host said that its process has ended.
         draining: Whether it is shutting down.
         config_number: Configuration in force there.
         epochs: Partitions that it holds, with their epochs.
@@ -39,6 +40,7 @@
     zone: str
     heard_until: float
     listed: bool = False
+    gone: bool = False
     draining: bool = False
     config_number: int = 0
     epochs: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -64,12 +66,17 @@
         phase: HELD, PLACING (start sent) or RUNNING.
         hold_until: Deadline of a hold, seconds since the epoch.
         stopping: Whether its stop was sent.
+        moving: Whether it is stopped to start elsewhere.
+        stray: Whether the attempt was settled or placed elsewhere before its
+            worker reported it; only its room counts.
     """
 
     task: works.Task
     phase: works.Phase
     hold_until: float = 0.0
     stopping: bool = False
+    moving: bool = False
+    stray: bool = False
 
 
 TaskKey = tuple[str, int]
@@ -87,6 +94,8 @@
         heard: Whether it was claimed under the present epoch.
         reachable: Whether it answered its last call.
         leaving: Whether it or the host list says that it is going away.
+        listed: Whether the host list has it.
+        displaced: Whether a newer owner has claimed it.
         lease_ends: When its task leases have surely ended.
     """
 
@@ -97,9 +106,24 @@
     heard: bool = False
     reachable: bool = False
     leaving: bool = False
+    listed: bool = True
+    displaced: bool = False
     lease_ends: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Unlisted:
+    """A worker that left the host list and may still run tasks.
+
+    Attributes:
+        host: Its last entry.
+        until: When it is forgotten, seconds since the epoch.
+    """
+
+    host: events.Host
+    until: float
+
+
 @dataclasses.dataclass(slots=True)
 class Shard:
     """A shard that this daemon owns.
@@ -114,6 +138,10 @@
         places: Worker of each placed task.
         ended: Settled updates that their homes have not yet taken.
         team_use: What each team has placed.
+        stops: When the stop of each running task is sent again, by worker.
+        move_at: Earliest time of the next stop for a move.
+        lease_id: Store lease that the ownership key goes with.
+        suspended: Whether its workers' leases are left to lapse.
         releasing: Whether it is being given up.
     """
 
@@ -128,6 +156,12 @@
     team_use: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    stops: dict[tuple[str, TaskKey], float] = dataclasses.field(
+        default_factory=dict
+    )
+    move_at: float = 0.0
+    lease_id: str = ""
+    suspended: bool = False
     releasing: bool = False
 
 
@@ -203,6 +237,7 @@
         flush_at: Earliest time of the next write.
         unsent: Tasks to be sent once the ledger is written.
         untaken: Updates to be confirmed once the ledger is written.
+        lease_id: Store lease that the ownership key goes with.
         releasing: Whether it is being given up.
     """
 
@@ -220,6 +255,7 @@
     untaken: list[tuple[str, messages.UpdateTaken]] = dataclasses.field(
         default_factory=list
     )
+    lease_id: str = ""
     releasing: bool = False
 
 
@@ -274,6 +310,12 @@
         bootstrap_key: Operator's token that counts while no operator's key
             was ever granted; empty for none.
         now: Time of the latest event, seconds since the epoch.
+        store_heard_at: Up to when this daemon knows the store's changes.
+        confirmed_at: Up to when the configuration here is known to be the
+            latest, by the store or by a peer.
+        lease_until: When the store lease may lapse.
+        freed: Store revision at which each unheld partition was given up.
+        drain_at: When the shutdown began, 0 if it has not.
     """
 
     name: str
@@ -290,7 +332,9 @@
     )
     config_revision: int = 0
     store_heard_at: float = 0.0
+    confirmed_at: float = 0.0
     lease_id: str = ""
+    lease_until: float = 0.0
     renew_at: float = 0.0
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     listed: bool = False
@@ -299,9 +343,11 @@
     heartbeat_at: float = 0.0
     partitions_at: float = 0.0
     hosts: dict[str, events.Host] = dataclasses.field(default_factory=dict)
+    unlisted: dict[str, Unlisted] = dataclasses.field(default_factory=dict)
     fleet: resources.Resources = resources.ZERO
     partition_names: tuple[str, ...] = ()
     views: dict[str, View] = dataclasses.field(default_factory=dict)
+    freed: dict[str, int] = dataclasses.field(default_factory=dict)
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
@@ -314,6 +360,7 @@
     counter: int = 0
     ring: account.Ring = dataclasses.field(default_factory=account.Ring)
     draining: bool = False
+    drain_at: float = 0.0
 
     def next_number(self) -> int:
         """Returns a number that this daemon has not used before."""
--- /dev/null
+++ b/packages/core/mimosaridge_core/stopping.py
@@ -0,0 +1,91 @@
+"""Stops of running tasks, and moves away from zones and workers that leave."""
+
+from mimosaridge_core import codes
+from mimosaridge_core import dispatch
+from mimosaridge_core import effects
+from mimosaridge_core import settling
+from mimosaridge_core import state
+from mimosaridge_core import works
+
+
+def send_stop(
+    st: state.State,
+    shard: state.Shard,
+    worker: state.Worker,
+    placed: state.Placed,
+    out: list,
+) -> None:
+    """Stops a task, and again at intervals until its end is reported."""
+    key = (placed.task.task_id, placed.task.attempt)
+    placed.stopping = True
+    shard.stops[(worker.host.worker_id, key)] = st.now + st.tuning.resend_s
+    out.append(
+        effects.StopTask(
+            worker.host.worker_id, worker.host.url, shard.epoch, *key
+        )
+    )
+
+
+@dispatch.every_tick
+def _stop_again(st: state.State, out: list) -> None:
+    for shard in st.shards.values():
+        for stop, due in list(shard.stops.items()):
+            worker_id, key = stop
+            worker = shard.workers.get(worker_id)
+            if worker is None or key not in worker.placed:
+                del shard.stops[stop]
+            elif due <= st.now and worker.heard:
+                send_stop(st, shard, worker, worker.placed[key], out)
+
+
+@dispatch.every_tick
+def _move(st: state.State, out: list) -> None:
+    for shard in st.shards.values():
+        if shard.zone in st.config.zones_out:
+            _return_waiting(st, shard, out)
+        if shard.move_at <= st.now:
+            _move_next(st, shard, out)
+
+
+def _return_waiting(st: state.State, shard: state.Shard, out: list) -> None:
+    """Gives waiting tasks back to their homes, which send them elsewhere."""
+    outcome = works.Outcome(
+        codes.Code.NOT_RUN, f"Zone {shard.zone} was taken out."
+    )
+    for key in list(shard.queue.waiting):
+        task = shard.queue.remove(key).task
+        settling.settle(st, shard, task, works.Phase.NOT_RUN, outcome, "", out)
+
+
+def _is_left(st: state.State, shard: state.Shard, worker: state.Worker) -> bool:
+    return shard.zone in st.config.zones_out or worker.leaving
+
+
+def _move_next(st: state.State, shard: state.Shard, out: list) -> None:
+    """Stops the most urgent task that has to move."""
+    candidates = [
+        (placed.task.urgency, key, worker)
+        for worker in shard.workers.values()
+        if worker.heard and _is_left(st, shard, worker)
+        for key, placed in worker.placed.items()
+        if _can_move(placed)
+    ]
+    if not candidates:
+        return
+    shard.move_at = st.now + 1.0 / st.tuning.moves_per_s
+    _, key, worker = min(candidates, key=lambda item: item[:2])
+    placed = worker.placed[key]
+    placed.moving = True
+    send_stop(st, shard, worker, placed, out)
+
+
+def _can_move(placed: state.Placed) -> bool:
+    """Requests end by themselves; other work is moved if it may run twice."""
+    task = placed.task
+    return (
+        placed.phase == works.Phase.RUNNING
+        and not placed.stopping
+        and not placed.stray
+        and task.idempotent
+        and task.kind != works.Kind.REQUEST
+    )
--- a/packages/core/mimosaridge_core/summaries.py
+++ b/packages/core/mimosaridge_core/summaries.py
@@ -20,7 +20,12 @@
 
 def takes_work(worker: state.Worker) -> bool:
     """Tells whether new tasks may start on a worker."""
-    return worker.heard and worker.reachable and not worker.leaving
+    return (
+        worker.heard
+        and worker.reachable
+        and worker.listed
+        and not worker.leaving
+    )
 
 
 def is_known(st: state.State, worker: state.Worker) -> bool:
@@ -53,4 +58,5 @@
         len(shard.queue),
         list(rooms.values()),
         dict(shard.team_use),
+        [worker.host for worker in shard.workers.values() if not worker.listed],
     )
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -15,6 +15,7 @@
         resend_s: Before an unanswered message is sent again.
         hold_s: How long room is held for an all-at-once job.
         worker_lease_s: Life of a worker's task leases.
+        worker_poll_s: Longest call that keeps a worker's leases renewed.
         lease_margin_s: Added before a lease counts as surely ended.
         flush_s: Least time between two writes of one ledger.
         retention_s: How long outcomes are kept.
@@ -23,6 +24,10 @@
         ledger_bytes: Body bytes that one ledger takes before it refuses work.
         queue_limit: Tasks that may wait in one shard.
         attempts: Most attempts at a failing batch task.
+        start_s: How long a start may travel to its worker.
+        moves_per_s: Tasks that one shard stops for a move in a second.
+        move_s: How long a moved task may wait for its next start.
+        drain_s: How long a shutdown waits for a store that is silent.
         stale_config_s: Without word of the configuration, after which
             nothing is started while peers have word.
         plan_s: Life of a plan.
@@ -35,6 +40,7 @@
     resend_s: float = 1.0
     hold_s: float = 5.0
     worker_lease_s: float = 20.0
+    worker_poll_s: float = 5.0
     lease_margin_s: float = 2.0
     flush_s: float = 0.03
     retention_s: float = 600.0
@@ -43,5 +49,9 @@
     ledger_bytes: int = 700_000
     queue_limit: int = 20_000
     attempts: int = 3
+    start_s: float = 2.0
+    moves_per_s: float = 20.0
+    move_s: float = 600.0
+    drain_s: float = 5.0
     stale_config_s: float = 5.0
     plan_s: float = 120.0
--- a/packages/core/mimosaridge_core/workerreports.py
+++ b/packages/core/mimosaridge_core/workerreports.py
@@ -8,11 +8,13 @@
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import events
+from mimosaridge_core import partitions
 from mimosaridge_core import rooms
 from mimosaridge_core import scheduling
 from mimosaridge_core import settling
 from mimosaridge_core import shards
 from mimosaridge_core import state
+from mimosaridge_core import stopping
 from mimosaridge_core import works
 
 
@@ -25,6 +27,8 @@
     worker.claim = event.claim
     worker.heard = True
     worker.reachable = True
+    worker.displaced = False
+    worker.lease_ends = shards.lease_end(st, event.now)
     worker.leaving = event.leaving or worker.host.leaving
     held = {
         (item.task.task_id, item.task.attempt): item for item in event.tasks
@@ -46,6 +50,8 @@
     out: list,
 ) -> None:
     placed = rooms.give_room(shard, worker, key)
+    if placed.stray:
+        return
     never_started = placed.phase == works.Phase.PLACING
     if never_started:
         outcome = works.Outcome(
@@ -68,16 +74,37 @@
     item: events.HeldTask,
     out: list,
 ) -> None:
+    worker_id = worker.host.worker_id
+    elsewhere = shard.places.get(key, worker_id) != worker_id
     if not item.ended:
-        if key not in worker.placed:
-            placed = state.Placed(item.task, works.Phase.RUNNING)
-            rooms.take_room(shard, worker, placed)
-        worker.placed[key].phase = works.Phase.RUNNING
-        settling.tell(st, shard, item.task, works.Phase.RUNNING, worker, out)
+        stray = elsewhere or key in shard.ended
+        _take_running(st, shard, worker, item.task, stray, out)
         return
-    rooms.give_room(shard, worker, key)
-    if key not in shard.ended:
-        _ended(st, shard, worker, item.task, item, out)
+    placed = rooms.give_room(shard, worker, key)
+    if not elsewhere and key not in shard.ended:
+        shard.queue.remove(key)
+        _ended(st, shard, worker, placed, item.task, item, out)
+
+
+def _take_running(
+    st: state.State,
+    shard: state.Shard,
+    worker: state.Worker,
+    task: works.Task,
+    stray: bool,
+    out: list,
+) -> None:
+    key = (task.task_id, task.attempt)
+    if key not in worker.placed:
+        placed = state.Placed(task, works.Phase.RUNNING, stray=stray)
+        rooms.take_room(shard, worker, placed)
+    placed = worker.placed[key]
+    placed.phase = works.Phase.RUNNING
+    if placed.stray:
+        stopping.send_stop(st, shard, worker, placed, out)
+        return
+    shard.queue.remove(key)
+    settling.tell(st, shard, task, works.Phase.RUNNING, worker, out)
 
 
 @dispatch.handles(events.WorkerRenewed)
@@ -86,7 +113,7 @@
     if found is None:
         return
     shard, worker = found
-    worker.lease_ends = shards.lease_end(st, event.asked_at)
+    worker.lease_ends = shards.lease_end(st, event.now)
     if event.leaving and not worker.leaving:
         worker.leaving = True
         rooms.reindex(shard, worker)
@@ -98,8 +125,17 @@
     if found is None:
         return
     shard, worker = found
+    lost = worker.reachable
     worker.reachable = False
+    called_until = shards.lease_end(st, event.called_at)
+    worker.lease_ends = max(worker.lease_ends, called_until)
     rooms.reindex(shard, worker)
+    if event.code == codes.Code.STALE_EPOCH:
+        worker.displaced = True
+        if worker.listed:
+            partitions.claim_again(st, shard.name, out)
+    if not lost:
+        return
     state.note(
         st,
         out,
@@ -153,15 +189,18 @@
         return
     shard, worker = found
     placed = rooms.give_room(shard, worker, (event.task_id, event.attempt))
-    if placed is not None:
-        _ended(st, shard, worker, placed.task, event, out)
-        scheduling.schedule(st, shard, out)
+    if placed is None:
+        return
+    if not placed.stray:
+        _ended(st, shard, worker, placed, placed.task, event, out)
+    scheduling.schedule(st, shard, out)
 
 
 def _ended(
     st: state.State,
     shard: state.Shard,
     worker: state.Worker,
+    placed: state.Placed | None,
     task: works.Task,
     report: events.HeldTask | events.TaskEnded,
     out: list,
@@ -171,7 +210,7 @@
         outcome = works.Outcome(codes.Code.OK, "", report.answer)
     else:
         phase = works.Phase.FAILED
-        outcome = works.Outcome(
-            codes.Code.TASK_FAILED, report.detail, report.answer
-        )
+        moved = placed is not None and placed.moving
+        code = codes.Code.MOVED if moved else codes.Code.TASK_FAILED
+        outcome = works.Outcome(code, report.detail, report.answer)
     settling.settle(st, shard, task, phase, outcome, worker.host.worker_id, out)
--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -63,6 +63,8 @@
             and worker ids count as names.
         replies: Replies to callers, by daemon and handle.
         records: All decisions.
+        doubles: Starts of tasks that ran on another worker: time, task id,
+            both workers.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.replies: dict[tuple[str, int], effects.Reply] = {}
         self.records: list[account.Record] = []
+        self.doubles: list[tuple[float, str, str, str]] = []
         self.agenda: list[tuple[float, int, str, Any]] = []
         self.waiting: dict[str, list[events.Event]] = {}
         self.seen: dict[str, int] = {}
@@ -123,6 +126,9 @@
         self.links = {
             key: epoch for key, epoch in self.links.items() if key[0] != name
         }
+        for other in self.daemons:
+            if (other, name) not in self.cuts:
+                self.post(other, events.PeerRefused(self.now, name), DELAY_S)
 
     def pause(self, name: str) -> None:
         """Keeps a daemon's events waiting."""
@@ -143,6 +149,24 @@
         """Ends all cuts."""
         self.cuts.clear()
 
+    # Hosts and configuration.
+
+    def list_host(self, worker_id: str, listed: bool) -> None:
+        """Adds a worker to the host list or removes it, for all daemons."""
+        host = self.workers[worker_id].host
+        kept = [item for item in self.hosts if item is not host]
+        self.hosts = [*kept, host] if listed else kept
+        for name in self.daemons:
+            self.post(
+                name, events.HostsListed(self.now, copy.deepcopy(self.hosts))
+            )
+
+    def change_config(self, config: configuration.Config) -> bool:
+        """Stores a configuration; tells whether the store took it."""
+        present = self.store.items[documents.CONFIG_KEY].revision
+        write = effects.StoreWrite(0, documents.CONFIG_KEY, config, present)
+        return self.store.write(write, "", self.now).result != "unknown"
+
     # Time.
 
     def _at(self, at: float, name: str, what: Any) -> None:
@@ -197,13 +221,13 @@
             for prefix in WATCHED:
                 self.post(name, self.store.listed(prefix, self.now))
             return
-        self.post(name, events.StoreHeard(self.now))
         for key, value, revision in self.store.changes[seen:]:
             if key.startswith(WATCHED):
                 changed = events.StoreChanged(
-                    self.now, key, copy.deepcopy(value), revision
+                    self.now, key, stores.copied(value), revision
                 )
                 self.post(name, changed)
+        self.post(name, events.StoreHeard(self.now, self.now))
 
     def _deliver(self, name: str, event: events.Event) -> None:
         if name not in self.daemons:
@@ -312,14 +336,14 @@
         elif worker.epoch != epoch:
             code = codes.Code.STALE_EPOCH
         if code is not None:
-            lost = events.WorkerLost(self.now, worker_id, epoch, code)
+            lost = events.WorkerLost(self.now, worker_id, epoch, code, self.now)
             self.post(name, lost)
             self._claim(name, worker, effect)
             return
         if name not in self.paused:
             worker.lease_until = self.now + worker.lease_s
             renewed = events.WorkerRenewed(
-                self.now, worker_id, epoch, self.now, worker.host.leaving
+                self.now, worker_id, epoch, self.now, worker.leaving
             )
             self.post(name, renewed)
             for key in list(worker.runs):
@@ -339,10 +363,16 @@
         fresh = key not in worker.runs
         if self._reaches(name, worker):
             sent = effects.StartTask(
-                effect.worker_id, effect.url, effect.epoch, effect.claim, task
+                effect.worker_id,
+                effect.url,
+                effect.epoch,
+                effect.claim,
+                task,
+                effect.start_before,
             )
             code = worker.take_start(sent, self.now)
             if fresh and key in worker.runs:
+                self._check_double(worker, task)
                 self._plan_end(worker, task)
         answer = events.StartAnswered(
             self.now, effect.worker_id, effect.epoch, *key, code
@@ -361,6 +391,15 @@
                 lambda: self._claim(name, worker, again),
             )
 
+    def _check_double(self, worker: workers.Worker, task: works.Task) -> None:
+        for other in self.workers.values():
+            if other is worker:
+                continue
+            for (task_id, _), run in other.runs.items():
+                if task_id == task.task_id and not run.ended:
+                    names = (other.host.worker_id, worker.host.worker_id)
+                    self.doubles.append((self.now, task_id, *names))
+
     def _plan_end(self, worker: workers.Worker, task: works.Task) -> None:
         run_s = self.run_s(task)
         if run_s is None or task.kind == works.Kind.SERVICE:
@@ -389,7 +428,11 @@
         if isinstance(effect, effects.ForgetTask):
             worker.forget(key)
         else:
-            self._report(worker, worker.end(key, False, "stopped"))
+            self._at(
+                self.now + worker.stop_s,
+                "",
+                lambda: self._report(worker, worker.end(key, False, "stopped")),
+            )
 
     # Callers.
 
--- a/standins/mimosaridge_fakes/workers.py
+++ b/standins/mimosaridge_fakes/workers.py
@@ -28,6 +28,8 @@
         host: Its entry in the host list.
         reachable: Whether calls reach it.
         lose_starts: This many starts take effect and get no answer.
+        stop_s: How long a stopped task runs on.
+        leaving: Whether it says that it is going away.
         starts: Every start that took effect: time, task id, attempt.
         overcommits: Starts that it had no room for; it takes them all the
             same when `trusting`, so that a test can see the owner's mistake.
@@ -42,6 +44,8 @@
         self.lease_s = 0.0
         self.reachable = True
         self.lose_starts = 0
+        self.stop_s = 0.0
+        self.leaving = host.leaving
         self.runs: dict[tuple[str, int], Run] = {}
         self.starts: list[tuple[float, str, int]] = []
         self.overcommits = 0
@@ -70,7 +74,7 @@
             for run in self.runs.values()
         ]
         return events.WorkerClaimed(
-            now, worker_id, self.epoch, self.claim, self.host.leaving, held
+            now, worker_id, self.epoch, self.claim, self.leaving, held
         )
 
     def take_start(self, effect: effects.StartTask, now: float) -> codes.Code:
@@ -79,7 +83,7 @@
         key = (task.task_id, task.attempt)
         if effect.epoch != self.epoch or effect.claim != self.claim:
             return codes.Code.STALE_EPOCH
-        if task.start_before <= now:
+        if effect.start_before <= now:
             return codes.Code.DEADLINE_PASSED
         if key not in self.runs:
             self.runs[key] = Run(task, now)
