Keep each shard's summary up to date change by change

A resent placement looked at every worker too. Ruled out: caching the whole summary until a change; every placement changes it, so the sum would still be made once a placement. Change: the placement index keeps the sum of what is free and, for each resource, a heap of the largest amounts; a shard keeps the workers not yet heard and what all of its workers have. Tests: tests/core/test_summaries.py against a look at every worker.

--- a/packages/core/mimosaridge_core/placement.py
+++ b/packages/core/mimosaridge_core/placement.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import heapq
 
 import sortedcontainers
 
 from mimosaridge_core import resources
 
 SCAN_LIMIT = 24
+SPARE_ENTRIES = 64
 
 Policy = Callable[["Pool", resources.Resources], str | None]
 POLICIES: dict[str, Policy] = {}
@@ -23,6 +25,41 @@
     return register
 
 
+class Peak:
+    """The largest amount of one resource that a worker of a pool has free.
+
+    Attributes:
+        resource: Name of the resource.
+        entries: Heap of negated amounts with their workers; an entry that no
+            longer holds is dropped when it comes to the top.
+    """
+
+    def __init__(self, resource: str) -> None:
+        self.resource = resource
+        self.entries: list[tuple[int, str]] = []
+
+    def put(self, worker_id: str, free: dict[str, resources.Resources]) -> None:
+        """Adds what a worker of the pool now has free."""
+        amount = getattr(free[worker_id], self.resource)
+        heapq.heappush(self.entries, (-amount, worker_id))
+        if len(self.entries) > 2 * len(free) + SPARE_ENTRIES:
+            self.entries = [
+                (-getattr(room, self.resource), name)
+                for name, room in free.items()
+            ]
+            heapq.heapify(self.entries)
+
+    def largest(self, free: dict[str, resources.Resources]) -> int:
+        """Returns the largest amount; 0 without workers."""
+        while self.entries:
+            negated, worker_id = self.entries[0]
+            room = free.get(worker_id)
+            if room is not None and getattr(room, self.resource) == -negated:
+                return -negated
+            heapq.heappop(self.entries)
+        return 0
+
+
 class Pool:
     """Workers of one endpoint, grouped by free accelerators.
 
@@ -30,18 +67,27 @@
         free: What each worker has free, by id.
         groups: For each number of free accelerators, workers with a free
             slot, sorted by free processor time and memory.
+        total: Sum of what they have free.
+        peaks: Largest free amount of each resource.
     """
 
     def __init__(self) -> None:
         self.free: dict[str, resources.Resources] = {}
         self.groups: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
+        self.total = resources.ZERO
+        self.peaks = [Peak(name) for name in resources.NAMES]
 
     def put(self, worker_id: str, free: resources.Resources) -> None:
         """Adds a worker or replaces what it has free."""
         known = self.free.get(worker_id)
+        if known == free:
+            return
         if known is not None:
             self._unlist(worker_id, known)
         self.free[worker_id] = free
+        self.total = self.total + free
+        for peak in self.peaks:
+            peak.put(worker_id, self.free)
         if free.slots <= 0:
             return
         group = self.groups.get(free.accelerators)
@@ -56,7 +102,13 @@
         if free is not None:
             self._unlist(worker_id, free)
 
+    def widest(self) -> resources.Resources:
+        """Returns the largest free amount of each resource on one worker."""
+        largest = [peak.largest(self.free) for peak in self.peaks]
+        return resources.Resources(*largest)
+
     def _unlist(self, worker_id: str, free: resources.Resources) -> None:
+        self.total = self.total - free
         if free.slots <= 0:
             return
         group = self.groups[free.accelerators]
--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -24,14 +24,9 @@
     key = (task.task_id, task.attempt)
     if _repeat(st, shard, key, out):
         return
-    unknown = [
-        worker
-        for worker in shard.workers.values()
-        if not summaries.is_known(st, worker)
-    ]
-    if message.resent and unknown:
+    if message.resent and not summaries.all_known(st, shard):
         return
-    if message.resent and not task.idempotent and _has_unheard(shard):
+    if message.resent and not task.idempotent and shard.unheard:
         outcome = works.Outcome(
             codes.Code.UNKNOWN, "A worker that may have run it is gone."
         )
@@ -40,10 +35,6 @@
     _enqueue(st, shard, sender, message, out)
 
 
-def _has_unheard(shard: state.Shard) -> bool:
-    return any(not worker.heard for worker in shard.workers.values())
-
-
 def _repeat(
     st: state.State, shard: state.Shard, key: state.TaskKey, out: list
 ) -> bool:
--- a/packages/core/mimosaridge_core/resources.py
+++ b/packages/core/mimosaridge_core/resources.py
@@ -64,6 +64,7 @@
 
 
 ZERO = Resources()
+NAMES = tuple(field.name for field in dataclasses.fields(Resources))
 
 
 def total(amounts: "list[Resources]") -> Resources:
--- a/packages/core/mimosaridge_core/rooms.py
+++ b/packages/core/mimosaridge_core/rooms.py
@@ -61,7 +61,23 @@
 def reindex(shard: state.Shard, worker: state.Worker) -> None:
     """Brings the placement index in line with what a worker has free."""
     host = worker.host
+    shard.rooms = None
+    if worker.heard:
+        shard.unheard.discard(host.worker_id)
+    else:
+        shard.unheard.add(host.worker_id)
     if summaries.takes_work(worker):
         shard.index.put(host.endpoint, host.worker_id, worker.free)
     else:
         shard.index.drop(host.endpoint, host.worker_id)
+
+
+def count_capacity(shard: state.Shard) -> None:
+    """Sums up what the workers of a shard have, after any came or went."""
+    shard.rooms = None
+    shard.capacities = {}
+    for worker in shard.workers.values():
+        host = worker.host
+        known = shard.capacities.setdefault(host.endpoint, state.Capacity())
+        known.total = known.total + host.capacity
+        known.widest = summaries.widest(known.widest, host.capacity)
--- a/packages/core/mimosaridge_core/routing.py
+++ b/packages/core/mimosaridge_core/routing.py
@@ -11,10 +11,12 @@
 CHOICES = 2
 
 
-def known_summaries(st: state.State) -> Iterator[messages.ShardSummary]:
+def known_summaries(
+    st: state.State, with_teams: bool = True
+) -> Iterator[messages.ShardSummary]:
     """Yields this daemon's shards and the live peers' as last described."""
     for shard in st.shards.values():
-        yield summaries.summarize(st, shard)
+        yield summaries.summarize(st, shard, with_teams)
     for member in st.members.values():
         if member.heard_until > st.now:
             yield from member.summaries.values()
@@ -57,7 +59,7 @@
     """
     roomy: list[tuple[int, int, str]] = []
     capable: list[tuple[int, int, str]] = []
-    for summary in known_summaries(st):
+    for summary in known_summaries(st, with_teams=False):
         if not summary.ready or summary.zone in st.config.zones_out:
             continue
         for room in _rooms(summary, endpoint):
--- a/packages/core/mimosaridge_core/shards.py
+++ b/packages/core/mimosaridge_core/shards.py
@@ -34,6 +34,7 @@
         worker.host = host
         worker.leaving = worker.leaving or host.leaving
         rooms.reindex(shard, worker)
+    rooms.count_capacity(shard)
 
 
 def _claim_worker(
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -100,6 +100,19 @@
     lease_ends: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Capacity:
+    """What all workers of one endpoint in a shard have.
+
+    Attributes:
+        total: Sum over the workers.
+        widest: Largest capacity of each resource on one worker.
+    """
+
+    total: resources.Resources = resources.ZERO
+    widest: resources.Resources = resources.ZERO
+
+
 @dataclasses.dataclass(slots=True)
 class Shard:
     """A shard that this daemon owns.
@@ -111,6 +124,9 @@
         workers: Its workers by id.
         index: Workers that take work, found by what they have free.
         queue: Tasks that wait.
+        unheard: Workers that are not claimed under the present epoch.
+        capacities: For each endpoint, what all of its workers have.
+        rooms: For each endpoint, what is left; None when it has changed.
         places: Worker of each placed task.
         ended: Settled updates that their homes have not yet taken.
         team_use: What each team has placed.
@@ -123,6 +139,9 @@
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     index: placement.Index = dataclasses.field(default_factory=placement.Index)
     queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
+    unheard: set[str] = dataclasses.field(default_factory=set)
+    capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
+    rooms: list[messages.Room] | None = None
     places: dict[TaskKey, str] = dataclasses.field(default_factory=dict)
     ended: dict[TaskKey, "Ended"] = dataclasses.field(default_factory=dict)
     team_use: dict[str, resources.Resources] = dataclasses.field(
--- a/packages/core/mimosaridge_core/summaries.py
+++ b/packages/core/mimosaridge_core/summaries.py
@@ -28,29 +28,46 @@
     return worker.heard or worker.lease_ends < st.now
 
 
-def summarize(st: state.State, shard: state.Shard) -> messages.ShardSummary:
-    """Describes a shard."""
-    rooms: dict[str, messages.Room] = {}
-    for worker in shard.workers.values():
-        endpoint = worker.host.endpoint
-        room = rooms.get(endpoint)
-        if room is None:
-            room = messages.Room(endpoint, *(resources.ZERO,) * 4)
-            rooms[endpoint] = room
-        room.capacity = room.capacity + worker.host.capacity
-        room.widest = widest(room.widest, worker.host.capacity)
-        if takes_work(worker):
-            room.free = room.free + worker.free
-            room.widest_free = widest(room.widest_free, worker.free)
-    ready = not shard.releasing and all(
-        is_known(st, worker) for worker in shard.workers.values()
+def all_known(st: state.State, shard: state.Shard) -> bool:
+    """Tells whether all that the shard's workers may run is known."""
+    return all(
+        is_known(st, shard.workers[worker_id])
+        for worker_id in shard.unheard
+        if worker_id in shard.workers
     )
+
+
+def rooms_of(shard: state.Shard) -> list[messages.Room]:
+    """Returns what each endpoint has left, summed up anew after a change."""
+    if shard.rooms is None:
+        shard.rooms = [
+            _room(shard, endpoint, capacity)
+            for endpoint, capacity in shard.capacities.items()
+        ]
+    return shard.rooms
+
+
+def _room(
+    shard: state.Shard, endpoint: str, capacity: state.Capacity
+) -> messages.Room:
+    pool = shard.index.pools.get(endpoint)
+    free = pool.total if pool else resources.ZERO
+    widest_free = pool.widest() if pool else resources.ZERO
+    return messages.Room(
+        endpoint, free, capacity.total, widest_free, capacity.widest
+    )
+
+
+def summarize(
+    st: state.State, shard: state.Shard, with_teams: bool = True
+) -> messages.ShardSummary:
+    """Describes a shard; what teams use only if that is asked for."""
     return messages.ShardSummary(
         shard.name,
         shard.zone,
         shard.epoch,
-        ready,
+        not shard.releasing and all_known(st, shard),
         len(shard.queue),
-        list(rooms.values()),
-        dict(shard.team_use),
+        rooms_of(shard),
+        dict(shard.team_use) if with_teams else {},
     )
--- /dev/null
+++ b/tests/core/test_summaries.py
@@ -0,0 +1,91 @@
+"""What an owner tells of a shard, against a look at every worker."""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from mimosaridge_core import events
+from mimosaridge_core import resources
+from mimosaridge_core import rooms
+from mimosaridge_core import shards
+from mimosaridge_core import state
+from mimosaridge_core import summaries
+from mimosaridge_core import works
+from mimosaridge_fakes import daemons
+
+ENDPOINTS = ("registry", "actuarial")
+AMOUNTS = strategies.integers(0, 3)
+NEEDS = strategies.builds(
+    resources.Resources, AMOUNTS, AMOUNTS, AMOUNTS, AMOUNTS, AMOUNTS
+)
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 3),
+        strategies.sampled_from(("take", "give", "hear", "lose", "leave")),
+        NEEDS,
+    ),
+    max_size=40,
+)
+
+
+def _shard():
+    st = daemons.make_state()
+    st.hosts = {
+        f"w{number}": events.Host(
+            f"w{number}",
+            "",
+            "z",
+            "r",
+            ENDPOINTS[number % 2],
+            resources.Resources(9 + number, 9, 9, 9, 9),
+        )
+        for number in range(4)
+    }
+    st.config.shards_per_zone = 1
+    shard = state.Shard("shard-z-0", "z", 1)
+    shards.sync_workers(st, shard, [])
+    return st, shard
+
+
+def _expected(shard):
+    found = {}
+    for worker in shard.workers.values():
+        free, widest_free = found.setdefault(
+            worker.host.endpoint, (resources.ZERO, resources.ZERO)
+        )
+        if summaries.takes_work(worker):
+            free = free + worker.free
+            widest_free = summaries.widest(widest_free, worker.free)
+        found[worker.host.endpoint] = (free, widest_free)
+    return found
+
+
+class SummaryTest(testtools.TestCase):
+    """A shard's summary is kept up to date change by change."""
+
+    @hypothesis.given(STEPS)
+    def test_says_what_a_look_at_every_worker_says(self, steps):
+        st, shard = _shard()
+        for number, (position, step, needs) in enumerate(steps):
+            worker = shard.workers[f"w{position}"]
+            if step == "take":
+                task = daemons.make_task(f"t{number}", needs)
+                placed = state.Placed(task, works.Phase.RUNNING)
+                rooms.take_room(shard, worker, placed)
+            elif step == "give" and worker.placed:
+                rooms.give_room(shard, worker, next(iter(worker.placed)))
+            elif step == "hear":
+                worker.heard = worker.reachable = True
+            elif step == "lose":
+                worker.heard = not worker.heard
+            elif step == "leave":
+                worker.leaving = not worker.leaving
+            rooms.reindex(shard, worker)
+            summary = summaries.summarize(st, shard)
+            said = {
+                room.endpoint: (room.free, room.widest_free)
+                for room in summary.rooms
+            }
+            self.assertEqual(_expected(shard), said)
+            unheard = any(not one.heard for one in shard.workers.values())
+            self.assertEqual(not unheard, summary.ready)
