Add why-waiting, history and top; move waiting tasks to shards with room

Cause: analysts could only ask for one piece of work after the fact. Their scenario then showed a job of 7 whole workers leaving a worker free for the next job: homes chose shards by summaries up to a heartbeat old and tasks stayed where they queued. Ruled out: a shorter heartbeat (bytes); a global queue (no owner for it). Before: test_rebalancing failed without rebalancing.py registered, and the scenario asking.feature failed. Conclusion: homes count what they sent since the last heartbeat, and an owner gives waiting tasks back while another shard's summary shows room.

--- a/packages/cli/mimosaridge_cli/main.py
+++ b/packages/cli/mimosaridge_cli/main.py
@@ -2,7 +2,6 @@
 
 import base64
 import json as json_library
-import os
 import secrets
 import sys
 import time
@@ -12,7 +11,7 @@
 import fire
 import uuid6
 
-from mimosaridge_cli import client
+from mimosaridge_cli import analyst
 from mimosaridge_cli import output
 from mimosaridge_core import keys
 
@@ -20,7 +19,7 @@
 SALT_BYTES = 16
 
 
-class Commands:
+class Commands(analyst.Analyst):
     """Asks, changes and explains a mimosaridge deployment.
 
     Flags before the command: --address=http://IP:PORT[,...] (or
@@ -28,32 +27,6 @@
     machine-readable output.
     """
 
-    def __init__(
-        self, address: str = "", key: str = "", json: bool = False
-    ) -> None:
-        address = address or os.environ.get("MIMOSARIDGE_ADDRESS", "")
-        if not address:
-            print(
-                "No daemon given: use --address=http://IP:PORT or set"
-                " MIMOSARIDGE_ADDRESS.",
-                file=sys.stderr,
-            )
-            sys.exit(2)
-        addresses = (
-            list(address)
-            if isinstance(address, (list, tuple))
-            else address.split(",")
-        )
-        token = key or os.environ.get("MIMOSARIDGE_KEY", "")
-        self._client = client.Client(addresses, token)
-        self._json = json
-
-    def _call(self, method: str, path: str, body: Any = None) -> Any:
-        answer = self._client.call(method, path, body)
-        if answer.is_err():
-            output.fail(answer.err_value)
-        return answer.ok_value
-
     def run(
         self,
         team: str = "",
@@ -123,41 +96,6 @@
         content = self._call("POST", f"/v1/work/{work_id}/cancel")
         self._show(content, "cancellation sent")
 
-    def explain(self, work_id: str) -> None:
-        """Tells in sentences what happened to some work, and why."""
-        content = self._call("GET", f"/v1/explain/{work_id}")
-        if self._json:
-            output.machine(content)
-            return
-        explanation = content["explanation"]
-        print(f"Work {work_id}:")
-        for record in explanation["records"]:
-            task = record["task_id"].rpartition("/")[2]
-            who = f"task {task}: " if task else ""
-            print(
-                f"  {output.clock(record['at'])}  {record['daemon']}"
-                f"  {who}{record['text']}  [{record['rule']}]"
-            )
-        if explanation["silent"]:
-            silent = ", ".join(explanation["silent"])
-            print(f"  These daemons did not answer: {silent}.")
-
-    def status(self) -> None:
-        """Shows daemons, shards, teams and services."""
-        content = self._call("GET", "/v1/status")
-        if self._json:
-            output.machine(content)
-            return
-        status = content["status"]
-        print(
-            f"configuration {status['config_number']}; live daemons:"
-            f" {', '.join(status['live'])}; zones out:"
-            f" {', '.join(status['zones_out']) or 'none'}\n"
-        )
-        output.table(_shard_rows(status), SHARD_HEADERS)
-        print()
-        output.table(_team_rows(status), TEAM_HEADERS)
-
     def plan(self, change: str, **arguments: Any) -> None:
         """Shows what a change would do, without doing it.
 
@@ -220,75 +158,23 @@
         self.change("grant-key", yes=True, **arguments)
         print(f"{key_id}.{secret}")
 
-    def audit(self) -> None:
-        """Lists the latest changes: who, when and what."""
-        content = self._call("GET", "/v1/status")
-        entries = content["status"]["audit"]
-        if self._json:
-            output.machine(entries)
-            return
-        rows = [
-            [
-                output.clock(entry["at"]),
-                entry["operator"],
-                entry["revision_after"],
-                entry["summary"],
-            ]
-            for entry in entries
-        ]
-        output.table(rows, ["at", "operator", "configuration", "change"])
-
     def _plan(self, change: str, arguments: dict[str, Any]) -> Any:
         body = {"change": change, "arguments": arguments}
         return self._call("POST", "/v1/plans", body)
 
-    def _show(self, content: Any, text: str) -> None:
-        if self._json:
-            output.machine(content)
-        else:
-            print(text)
-
-
-SHARD_HEADERS = ["shard", "owner", "ready", "queued", "free slots", "of"]
-TEAM_HEADERS = ["team", "share", "of fleet", "slots", "cores", "accelerators"]
-
 
 def _text(body: Any) -> str:
     """Undoes fire's reading of a JSON body as a Python value."""
     return body if isinstance(body, str) else json_library.dumps(body)
 
 
-def _shard_rows(status: Any) -> list[list[Any]]:
-    return [
-        [
-            shard["shard"],
-            status["owners"].get(shard["shard"], ""),
-            "yes" if shard["ready"] else "no",
-            shard["queued"],
-            sum(room["free"]["slots"] for room in shard["rooms"]),
-            sum(room["capacity"]["slots"] for room in shard["rooms"]),
-        ]
-        for shard in status["shards"]
-    ]
-
-
-def _team_rows(status: Any) -> list[list[Any]]:
-    return [
-        [
-            team["team"],
-            f"{team['share']:.0%}",
-            f"{team['fraction']:.1%}",
-            team["used"]["slots"],
-            team["used"]["cpu_millis"] / 1000,
-            team["used"]["accelerators"],
-        ]
-        for team in status["teams"]
-    ]
-
-
 def main() -> None:
     """Entry point."""
-    fire.Fire(Commands, name="mimosaridge")
+    if sys.argv[1:] in ([], ["--help"], ["-h"]):
+        # Help on the class lists only its flags; on an object, the commands.
+        fire.Fire(Commands(), command=["--help"], name="mimosaridge")
+    else:
+        fire.Fire(Commands, name="mimosaridge")
 
 
 if __name__ == "__main__":
--- a/packages/cli/mimosaridge_cli/output.py
+++ b/packages/cli/mimosaridge_cli/output.py
@@ -36,3 +36,9 @@
     text = f"{failure.code.name} ({int(failure.code)}): {failure.detail}"
     print(text, file=sys.stderr)
     sys.exit(FAILED_EXIT)
+
+
+def silent(daemons: list[str]) -> None:
+    """Names daemons whose part of an answer is missing."""
+    if daemons:
+        print(f"These daemons did not answer: {', '.join(daemons)}.")
--- a/packages/core/mimosaridge_core/events.py
+++ b/packages/core/mimosaridge_core/events.py
@@ -281,6 +281,27 @@
     work_id: str
 
 
+@dataclasses.dataclass(slots=True)
+class StandingAsked(Event):
+    """Somebody asks why some work waits, or where it runs."""
+
+    handle: int
+    token: str
+    work_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class HistoryAsked(Event):
+    """Somebody asks for a list of work; see messages.AskHistory."""
+
+    handle: int
+    token: str
+    team: str
+    outcome: str
+    before: float
+    limit: int
+
+
 @dataclasses.dataclass(slots=True)
 class StatusAsked(Event):
     """Somebody asks how the deployment stands."""
--- a/packages/core/mimosaridge_core/membership.py
+++ b/packages/core/mimosaridge_core/membership.py
@@ -162,6 +162,7 @@
     if st.now < st.heartbeat_at:
         return
     st.heartbeat_at = st.now + st.tuning.heartbeat_s
+    st.sent_room.clear()
     _forget_gone(st)
     heartbeat = messages.Heartbeat(
         st.url,
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -189,10 +189,20 @@
 
 
 @dataclasses.dataclass(slots=True)
-class AskAccount:
-    """Asks a peer for its records of some work."""
+class Question:
+    """Base of questions that go to all peers.
+
+    Attributes:
+        query_id: Names the question in its answers.
+    """
 
     query_id: int
+
+
+@dataclasses.dataclass(slots=True)
+class AskAccount(Question):
+    """Asks a peer for its records of some work."""
+
     work_id: str
 
 
@@ -204,6 +214,89 @@
     records: list[account.Record]
 
 
+@dataclasses.dataclass(slots=True)
+class AskStanding(Question):
+    """Asks a peer how some work stands with it now."""
+
+    work_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class Standing:
+    """How a task, or work as a whole, stands with one daemon.
+
+    Attributes:
+        daemon: The daemon that tells.
+        task_id: The task; empty for the work as a whole.
+        phase: Where it stands.
+        text: A sentence for a person.
+    """
+
+    daemon: str
+    task_id: str
+    phase: works.Phase
+    text: str
+
+
+@dataclasses.dataclass(slots=True)
+class StandingPage:
+    """How some work stands with a peer."""
+
+    query_id: int
+    standings: list[Standing]
+
+
+@dataclasses.dataclass(slots=True)
+class AskHistory(Question):
+    """Asks a peer for work that it is the home of.
+
+    Attributes:
+        team: Only this team's; empty for all.
+        outcome: Only work with this outcome's name; empty for all, "OPEN"
+            for work that is not settled.
+        before: Only work submitted before, seconds since the epoch.
+        limit: Most rows, the latest first.
+    """
+
+    team: str
+    outcome: str
+    before: float
+    limit: int
+
+
+@dataclasses.dataclass(slots=True)
+class HistoryRow:
+    """One piece of work in a list.
+
+    Attributes:
+        work_id: The work.
+        team: Team charged for it.
+        kind: How its tasks run.
+        count: Number of tasks.
+        submitted_at: Seconds since the epoch.
+        settled_at: Seconds since the epoch; 0 while it is open.
+        outcome: Name of the result code; "OPEN" while it is open.
+        detail: A sentence on the outcome.
+    """
+
+    work_id: str
+    team: str
+    kind: works.Kind
+    count: int
+    submitted_at: float
+    settled_at: float
+    outcome: str
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class HistoryPage:
+    """A peer's rows, the latest first."""
+
+    query_id: int
+    rows: list[HistoryRow]
+
+
 ALL: tuple[type, ...] = (
     Heartbeat,
     Released,
@@ -220,4 +313,8 @@
     UpdateTaken,
     AskAccount,
     AccountPage,
+    AskStanding,
+    StandingPage,
+    AskHistory,
+    HistoryPage,
 )
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -169,6 +169,9 @@
 ) -> None:
     task = work.tasks[index]
     task.phase = works.Phase.PENDING
+    if _was_moved(work, message):
+        dispatching.assign(st, work, index, out)
+        return
     task.failures += 1
     ceiling = min(
         LONGEST_RETRY_S, dispatching.FIRST_RETRY_S * 2 ** min(task.failures, 8)
@@ -192,6 +195,12 @@
         _break_gang(st, work, index, out)
 
 
+def _was_moved(work: state.HomeWork, message: messages.TaskUpdate) -> bool:
+    """Tells whether a shard gave a task back because another has room."""
+    moved = message.outcome.code == codes.Code.NO_ROOM
+    return moved and work.entry.work.kind != works.Kind.GANG
+
+
 def _break_gang(
     st: state.State, work: state.HomeWork, failed: int, out: list
 ) -> None:
--- /dev/null
+++ b/packages/core/mimosaridge_core/queries.py
@@ -0,0 +1,107 @@
+"""Questions that are put to all live daemons and answered together."""
+
+from collections.abc import Callable
+from typing import Any
+
+from mimosaridge_core import codes
+from mimosaridge_core import dispatch
+from mimosaridge_core import effects
+from mimosaridge_core import keys
+from mimosaridge_core import messages
+from mimosaridge_core import state
+
+PATIENCE_S = 1.0
+
+Answer = Callable[[state.State, Any], Any]
+Merge = Callable[[state.State, state.Query, list[str], list], None]
+ANSWERS: dict[type, Answer] = {}
+MERGES: dict[type, Merge] = {}
+
+
+def answers(question: type) -> Callable[[Answer], Answer]:
+    """Registers answer(state, question), which returns this daemon's page."""
+
+    def register(answer: Answer) -> Answer:
+        ANSWERS[question] = answer
+        dispatch.receives(question)(_asked)
+        return answer
+
+    return register
+
+
+def merges(question: type, page: type) -> Callable[[Merge], Merge]:
+    """Registers merge(state, query, silent, out), which replies to all pages.
+
+    Args:
+        question: Type of the question.
+        page: Type of the pages that answer it.
+
+    Returns:
+        The decorator.
+    """
+
+    def register(merge: Merge) -> Merge:
+        MERGES[question] = merge
+        dispatch.receives(page)(_page)
+        return merge
+
+    return register
+
+
+def may_read(st: state.State, handle: int, token: str, out: list) -> bool:
+    """Tells whether a token may read; replies to the caller if not."""
+    known = keys.verify(st.config, token) is not None
+    bootstraps = bool(st.bootstrap_key) and token == st.bootstrap_key
+    if not known and not bootstraps:
+        out.append(effects.Reply(handle, codes.Code.BAD_KEY))
+        return False
+    return True
+
+
+def ask(
+    st: state.State, handle: int, question: messages.Question, out: list
+) -> None:
+    """Puts a question to this daemon and all live peers."""
+    question.query_id = st.next_number()
+    missing = {
+        member.name
+        for member in st.members.values()
+        if member.heard_until > st.now
+    }
+    page = ANSWERS[type(question)](st, question)
+    query = state.Query(handle, question, missing, [page], st.now + PATIENCE_S)
+    st.queries[question.query_id] = query
+    for name in sorted(missing):
+        out.append(effects.SendPeer(name, question))
+    _finish(st, question.query_id, out)
+
+
+def _asked(
+    st: state.State, sender: str, message: messages.Question, out: list
+) -> None:
+    page = ANSWERS[type(message)](st, message)
+    out.append(effects.SendPeer(sender, page))
+
+
+def _page(st: state.State, sender: str, message: Any, out: list) -> None:
+    query = st.queries.get(message.query_id)
+    if query is None or sender not in query.missing:
+        return
+    query.missing.discard(sender)
+    query.pages.append(message)
+    _finish(st, message.query_id, out)
+
+
+def _finish(st: state.State, number: int, out: list) -> None:
+    query = st.queries[number]
+    if query.missing and query.until > st.now:
+        return
+    del st.queries[number]
+    MERGES[type(query.question)](st, query, sorted(query.missing), out)
+
+
+@dispatch.every_tick
+def _overdue(st: state.State, out: list) -> None:
+    for number, query in list(st.queries.items()):
+        if query.until <= st.now:
+            _finish(st, number, out)
--- a/packages/core/mimosaridge_core/reducer.py
+++ b/packages/core/mimosaridge_core/reducer.py
@@ -4,6 +4,8 @@
 from mimosaridge_core import dispatching
 from mimosaridge_core import events
 from mimosaridge_core import expiry
+from mimosaridge_core import explanations
+from mimosaridge_core import histories
 from mimosaridge_core import homes
 from mimosaridge_core import ingress
 from mimosaridge_core import ledgers
@@ -12,8 +14,11 @@
 from mimosaridge_core import outcomes
 from mimosaridge_core import partitions
 from mimosaridge_core import placing
+from mimosaridge_core import queries
+from mimosaridge_core import rebalancing
 from mimosaridge_core import reports
 from mimosaridge_core import services
+from mimosaridge_core import standings
 from mimosaridge_core import state
 from mimosaridge_core import workerreports
 
@@ -24,6 +29,7 @@
     workerreports,
     placing,
     expiry,
+    rebalancing,
     homes,
     ledgers,
     dispatching,
@@ -31,6 +37,10 @@
     services,
     ingress,
     operators,
+    queries,
+    explanations,
+    standings,
+    histories,
     reports,
 )
 
--- a/packages/core/mimosaridge_core/routing.py
+++ b/packages/core/mimosaridge_core/routing.py
@@ -49,9 +49,10 @@
 ) -> str:
     """Returns a shard for a task, or an empty name if none takes it now.
 
-    Of the shards with room, two are drawn and the one with the shorter queue
-    and more free slots is taken. Without room anywhere, the shortest queue of
-    a shard with large enough workers is taken.
+    What was sent since the last heartbeat counts as taken, since summaries
+    do not show it yet. Of the shards with room, two are drawn and the one
+    with the shorter queue and more free slots is taken. Without room
+    anywhere, the shortest queue of a shard with large enough workers is taken.
 
     Source: the power of two choices (Mitzenmacher, 2001).
     """
@@ -65,14 +66,27 @@
                 continue
             entry = (summary.queued, -room.free.slots, summary.shard)
             capable.append(entry)
-            if needs.fits(room.widest_free) and summary.shard not in avoid:
+            if summary.shard not in avoid and _has_room(st, room, entry, needs):
                 roomy.append(entry)
     if roomy:
         drawn = st.rng.sample(roomy, min(CHOICES, len(roomy)))
-        return min(drawn)[2]
+        chosen = min(drawn)[2]
+        sent = st.sent_room.get(chosen, resources.ZERO)
+        st.sent_room[chosen] = sent + needs
+        return chosen
     return min(capable)[2] if capable else ""
 
 
+def _has_room(
+    st: state.State,
+    room: messages.Room,
+    entry: tuple[int, int, str],
+    needs: resources.Resources,
+) -> bool:
+    sent = st.sent_room.get(entry[2], resources.ZERO)
+    return needs.fits(room.widest_free) and (sent + needs).fits(room.free)
+
+
 def task_of(
     work: works.Work, index: int, attempt: int, home: str
 ) -> works.Task:
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -23,6 +23,14 @@
                 lanes.remove(lane)
 
 
+def lacks_room(st: state.State, shard: state.Shard, task: works.Task) -> bool:
+    """Tells whether room is all that keeps a waiting task from starting."""
+    if not fairness.within_limit(st, shard, task):
+        return False
+    found = shard.index.find(st.config.policy, task.endpoint, task.needs)
+    return found is None
+
+
 def _try_place(
     st: state.State,
     shard: state.Shard,
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -248,16 +248,16 @@
 
     Attributes:
         handle: The open call.
-        work_id: The work asked about.
+        question: The question.
         missing: Peers that have not answered.
-        records: What was answered so far.
+        pages: What was answered so far.
         until: Deadline, seconds since the epoch.
     """
 
     handle: int
-    work_id: str
+    question: messages.Question
     missing: set[str]
-    records: list[account.Record]
+    pages: list[Any]
     until: float
 
 
@@ -305,6 +305,10 @@
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
+    sent_room: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    rebalance_at: float = 0.0
     timers: list[tuple[float, int, str, int]] = dataclasses.field(
         default_factory=list
     )
--- a/packages/daemon/mimosaridge_daemon/api.py
+++ b/packages/daemon/mimosaridge_daemon/api.py
@@ -73,6 +73,8 @@
             ("POST", "/v1/work", self.submit),
             ("POST", "/v1/work/<work_id>/cancel", self.cancel),
             ("GET", "/v1/explain/<work_id>", self.explain),
+            ("GET", "/v1/standing/<work_id>", self.standing),
+            ("GET", "/v1/history", self.history),
             ("GET", "/v1/status", self.status),
             ("POST", "/v1/plans", self.plan),
             ("POST", "/v1/confirmations", self.confirm),
@@ -169,6 +171,42 @@
         )
         return self._typed(reply, "explanation")
 
+    def standing(self, work_id: str) -> str:
+        """Returns how some work stands, and why tasks of it wait."""
+        token = _token()
+        reply = self._call(
+            lambda now, handle: events.StandingAsked(
+                now, handle, token, work_id
+            ),
+            OPERATOR_TIMEOUT_S,
+        )
+        return self._typed(reply, "standings")
+
+    def history(self) -> str:
+        """Returns a page of work, the latest first."""
+        token = _token()
+        try:
+            wish = schemas.HistoryQuery.model_validate(
+                dict(bottle.request.query)
+            )
+        except pydantic.ValidationError as error:
+            raise RefusedError(
+                codes.Code.BAD_INPUT, _problems(error)
+            ) from error
+        reply = self._call(
+            lambda now, handle: events.HistoryAsked(
+                now,
+                handle,
+                token,
+                wish.team,
+                wish.outcome,
+                wish.before or now + 1,
+                wish.limit,
+            ),
+            OPERATOR_TIMEOUT_S,
+        )
+        return self._typed(reply, "history")
+
     def status(self) -> str:
         """Returns how the deployment stands."""
         token = _token()
--- a/packages/daemon/mimosaridge_daemon/schemas.py
+++ b/packages/daemon/mimosaridge_daemon/schemas.py
@@ -15,6 +15,7 @@
 
 LARGEST_AMOUNT = 1_000_000_000
 MOST_TASKS = 10_000
+MOST_HISTORY_ROWS = 1_000
 LONGEST_WAIT_S = 30 * 86_400.0
 
 Amount = Annotated[int, pydantic.Field(ge=0, le=LARGEST_AMOUNT)]
@@ -132,3 +133,19 @@
     base_number: Annotated[int, pydantic.Field(ge=0)]
     expires_at: float
     change_id: Annotated[str, pydantic.Field(min_length=8, max_length=64)]
+
+
+class HistoryQuery(Strict):
+    """Which page of work is wanted.
+
+    Attributes:
+        team: Only this team's; empty for all.
+        outcome: Only this outcome's name, or OPEN; empty for all.
+        before: Only work submitted before, seconds since the epoch; 0 for now.
+        limit: Most rows.
+    """
+
+    team: OptionalName = ""
+    outcome: Annotated[str, pydantic.Field(pattern="^[A-Z_]{0,40}$")] = ""
+    before: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    limit: Annotated[int, pydantic.Field(ge=1, le=MOST_HISTORY_ROWS)] = 50
