--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -120,6 +120,14 @@
             heapq.heappush(lanes, (present, position, lane))
 
 
+def lacks_room(st: state.State, shard: state.Shard, task: works.Task) -> bool:
+    """Tells whether room is all that keeps a waiting task from starting."""
+    if not fairness.within_limit(st, shard, task):
+        return False
+    found = shard.index.find(st.config.policy, task.endpoint, task.needs)
+    return found is None
+
+
 def _try_place(
     st: state.State,
     shard: state.Shard,
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -32,6 +32,8 @@
         config_number: Configuration in force there.
         epochs: Partitions that it holds, with their epochs.
         summaries: Its shards, by name.
+        sent_at: When its latest heartbeat was sent, seconds since the epoch.
+        gone: Whether its host says that the process is gone.
     """
 
     name: str
@@ -45,6 +47,8 @@
     summaries: dict[str, messages.ShardSummary] = dataclasses.field(
         default_factory=dict
     )
+    sent_at: float = 0.0
+    gone: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -267,16 +271,16 @@
 
     Attributes:
         handle: The open call.
-        work_id: The work asked about.
+        question: The question.
         missing: Peers that have not answered.
-        records: What was answered so far.
+        pages: What was answered so far.
         until: Deadline, seconds since the epoch.
     """
 
     handle: int
-    work_id: str
+    question: messages.Question
     missing: set[str]
-    records: list[account.Record]
+    pages: list[Any]
     until: float
 
 
@@ -309,6 +313,8 @@
     )
     config_revision: int = 0
     store_heard_at: float = 0.0
+    word_at: float = 0.0
+    daemons_listed: bool = False
     lease_id: str = ""
     renew_at: float = 0.0
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
@@ -324,6 +330,10 @@
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
+    sent_room: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    rebalance_at: float = 0.0
     timers: list[tuple[float, int, str, int]] = dataclasses.field(
         default_factory=list
     )
