Look at what is due instead of at everything on each tick

Cause: at every tick of 20 ms the daemon looked at each worker's tasks for ended holds and at each open call for a resend, and each running task had a timer of one second: 4.1 ms a tick at 700 full workers, a fifth of a core. A caller that hung up was searched for among all open calls. Ruled out: longer ticks; they delay every deadline and the cost still grows with the number of tasks. Change: holds and resends are heaps of deadlines, open calls are found by handle, and running tasks are looked at when the epoch of their shard changes. Found on the way: a home asked the new owner of a shard for a running task only once; while the owner did not yet know all workers it ignored that, and the task was stuck for good if its worker had died. The home now asks until the owner answers. Then an idempotent task that had run on a lost worker was settled as NOT_RUN once its deadline had passed: a resent placement after the deadline is now UNKNOWN while workers are unheard, and an assignment keeps the outcome of its latest attempt that may have run, which goes before NOT_RUN. Conclusion: what remains in a tick is heartbeats, leases and rebalancing.

--- a/bench/harness.py
+++ b/bench/harness.py
@@ -9,6 +9,7 @@
 
 from mimosaridge_core import codes
 from mimosaridge_core import configuration
+from mimosaridge_core import documents
 from mimosaridge_core import effects
 from mimosaridge_core import events
 from mimosaridge_core import keys
@@ -19,7 +20,9 @@
 
 ZONES = 9
 TICK_S = 0.02
+HEARD_S = 1.0
 SETTLE_S = 4.0
+WATCHED = (documents.CONFIG_KEY, documents.DAEMONS, documents.PARTITIONS)
 START = 1_000_000.0
 SALT = "00"
 CAPACITY = resources.Resources(32_000, 65_536, 0, 8, 64)
@@ -113,16 +116,20 @@
         self.sent: collections.Counter = collections.Counter()
         self.revision = 1
         self.handle = 0
+        self.heard_at = 0.0
         self.inbox: collections.deque = collections.deque()
         self._join(hosts, config)
 
     def _join(
         self, hosts: list[events.Host], config: configuration.Config
     ) -> None:
-        for prefix in ("daemons/", "partitions/"):
-            self.feed(events.StoreListed(self.now, prefix, 1, {}, {}))
+        for prefix in WATCHED[1:]:
+            listed = events.StoreListed(self.now, prefix, 1, {}, {}, self.now)
+            self.feed(listed)
         self.feed(events.HostsListed(self.now, hosts))
-        self.feed(events.StoreChanged(self.now, "config", config, 1))
+        self.feed(
+            events.StoreChanged(self.now, documents.CONFIG_KEY, config, 1)
+        )
         self.run_idle(SETTLE_S)
         heard = sum(
             worker.heard
@@ -138,7 +145,15 @@
         until = self.now + seconds
         while self.now < until:
             self.now += TICK_S
-            self.feed(events.Tick(self.now))
+            self.tick()
+
+    def tick(self) -> None:
+        """Feeds a tick and now and then the store's word."""
+        self.feed(events.Tick(self.now))
+        if self.now >= self.heard_at + HEARD_S:
+            self.heard_at = self.now
+            for prefix in WATCHED:
+                self.feed(events.StoreHeard(self.now, prefix, self.now))
 
     def submit(self, work: works.Work, within_s: float = 60.0) -> None:
         """Submits work now."""
--- a/bench/reducer.py
+++ b/bench/reducer.py
@@ -70,7 +70,7 @@
         daemon.now += 1 / STARTS_PER_S
         if daemon.now >= ticks_at:
             ticks_at = daemon.now + harness.TICK_S
-            daemon.feed(harness.events.Tick(daemon.now))
+            daemon.tick()
         daemon.submit(work, within_s=3600.0)
         if number >= total:
             daemon.end_oldest()
--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -114,7 +114,9 @@
 def _work_timer(st: state.State, work: state.HomeWork, out: list) -> None:
     entry = work.entry
     if entry.outcome is None:
-        if all(task.phase == works.Phase.PENDING for task in work.tasks):
+        ran = any(item.ran is not None for item in entry.assignments)
+        waits = all(task.phase == works.Phase.PENDING for task in work.tasks)
+        if waits and not ran:
             outcome = works.Outcome(
                 codes.Code.DEADLINE_PASSED,
                 "No shard took it before its deadline.",
@@ -151,9 +153,28 @@
 def _follow_owner(
     st: state.State, work: state.HomeWork, index: int, out: list
 ) -> None:
-    """Asks a shard's new owner for a task that runs."""
+    """Asks a shard's new owner for a task that runs, until it answers."""
+    task = work.tasks[index]
     view = st.views.get(work.entry.assignments[index].shard)
-    if view is not None and view.epoch != work.tasks[index].epoch:
+    if view is not None and view.epoch != task.epoch:
+        task.phase = works.Phase.PLACING
         send_task(st, work, index, out)
-    else:
-        set_timer(st, st.now + st.tuning.resend_s, work, index)
+
+
+@dispatch.every_tick
+def _follow_owners(st: state.State, out: list) -> None:
+    """Has running tasks looked at once their shard has a new owner."""
+    changed = {
+        name
+        for name, view in st.views.items()
+        if st.followed.get(name) != view.epoch
+    }
+    if not changed:
+        return
+    for name in changed:
+        st.followed[name] = st.views[name].epoch
+    for work in st.works.values():
+        for index, task in enumerate(work.tasks):
+            shard = work.entry.assignments[index].shard
+            if task.phase == works.Phase.RUNNING and shard in changed:
+                set_timer(st, st.now, work, index)
--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -45,11 +45,13 @@
         attempt: The attempt that was sent.
         shard: The shard that it was sent to; empty if none holds it.
         outcome: What became of it, once settled.
+        ran: What became of the latest attempt that may have run.
     """
 
     attempt: int = 0
     shard: str = ""
     outcome: works.Outcome | None = None
+    ran: works.Outcome | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/expiry.py
+++ b/packages/core/mimosaridge_core/expiry.py
@@ -1,5 +1,7 @@
 """Deadlines that an owner keeps: of waiting and held tasks and of leases."""
 
+import heapq
+
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import rooms
@@ -40,14 +42,14 @@
 
 def _expire_held(st: state.State, shard: state.Shard, out: list) -> None:
     freed = False
-    for worker in shard.workers.values():
-        for key, placed in list(worker.placed.items()):
-            if placed.phase != works.Phase.HELD:
-                continue
-            if placed.hold_until <= st.now:
-                rooms.give_room(shard, worker, key)
-                settling.settle_cancelled(st, shard, placed.task, out)
-                freed = True
+    while shard.holds and shard.holds[0][0] <= st.now:
+        _, key = heapq.heappop(shard.holds)
+        worker = shard.workers.get(shard.places.get(key, ""))
+        if worker is None or worker.placed[key].phase != works.Phase.HELD:
+            continue
+        placed = rooms.give_room(shard, worker, key)
+        settling.settle_cancelled(st, shard, placed.task, out)
+        freed = True
     if freed:
         scheduling.schedule(st, shard, out)
 
--- a/packages/core/mimosaridge_core/ingress.py
+++ b/packages/core/mimosaridge_core/ingress.py
@@ -1,5 +1,6 @@
 """Callers' work: checked here, forwarded to its home, answered from there."""
 
+import heapq
 import uuid
 
 from mimosaridge_core import account
@@ -97,11 +98,13 @@
         waiter = state.Waiter(work, home, {}, 0.0)
         st.waiters[work.work_id] = waiter
     waiter.handles[event.handle] = event.wait
+    st.handles[event.handle] = work.work_id
     _forward(st, waiter, out)
 
 
 def _forward(st: state.State, waiter: state.Waiter, out: list) -> None:
     waiter.resend_at = st.now + st.tuning.resend_s
+    heapq.heappush(st.resends, (waiter.resend_at, waiter.work.work_id))
     if waiter.home == st.name:
         homes.accept(st, waiter.work, st.name, out)
         return
@@ -122,6 +125,7 @@
     for handle, waits in list(waiter.handles.items()):
         if not waits:
             del waiter.handles[handle]
+            st.handles.pop(handle, None)
             out.append(effects.Reply(handle, codes.Code.ACCEPTED))
     if not waiter.handles:
         del st.waiters[message.work_id]
@@ -136,22 +140,27 @@
         return
     outcome = message.outcome
     for handle in waiter.handles:
+        st.handles.pop(handle, None)
         out.append(effects.Reply(handle, outcome.code, outcome.detail, outcome))
 
 
 @dispatch.handles(events.CallerGone)
 def _gone(st: state.State, event: events.CallerGone, out: list) -> None:
-    for work_id, waiter in list(st.waiters.items()):
-        if waiter.handles.pop(event.handle, None) is None:
-            continue
-        if not waiter.handles:
-            del st.waiters[work_id]
+    work_id = st.handles.pop(event.handle, "")
+    waiter = st.waiters.get(work_id)
+    if waiter is None:
+        return
+    waiter.handles.pop(event.handle, None)
+    if not waiter.handles:
+        del st.waiters[work_id]
 
 
 @dispatch.every_tick
 def _resend(st: state.State, out: list) -> None:
-    for waiter in list(st.waiters.values()):
-        if waiter.resend_at > st.now:
+    while st.resends and st.resends[0][0] <= st.now:
+        _, work_id = heapq.heappop(st.resends)
+        waiter = st.waiters.get(work_id)
+        if waiter is None or waiter.resend_at > st.now:
             continue
         work = waiter.work
         if work.start_before <= st.now and not waiter.accepted:
--- a/packages/core/mimosaridge_core/ledgers.py
+++ b/packages/core/mimosaridge_core/ledgers.py
@@ -100,7 +100,7 @@
     for index, assignment in enumerate(entry.assignments):
         task = tasks[index]
         if assignment.outcome is not None:
-            task.phase = _final_phase(assignment.outcome.code)
+            task.phase = outcomes.final_phase(assignment.outcome.code)
         elif assignment.shard:
             task.phase = works.Phase.PLACING
             task.sent = True
@@ -111,16 +111,6 @@
         outcomes.cancel(st, work, out)
 
 
-def _final_phase(code: codes.Code) -> works.Phase:
-    if code == codes.Code.OK:
-        return works.Phase.DONE
-    if code == codes.Code.UNKNOWN:
-        return works.Phase.UNKNOWN
-    if codes.is_not_run(code):
-        return works.Phase.NOT_RUN
-    return works.Phase.FAILED
-
-
 def drop(st: state.State, name: str, out: list) -> None:
     """Forgets a bucket; its next owner reads the ledger."""
     del st.buckets[name]
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -130,8 +130,11 @@
     if _tries_again(st, work, index, message):
         _retry(st, work, index, message, out)
         return
-    task.phase = message.phase
     outcome = message.outcome
+    ran = work.entry.assignments[index].ran
+    if message.phase == works.Phase.NOT_RUN and ran is not None:
+        outcome = ran
+    task.phase = final_phase(outcome.code)
     kept = outcome
     if len(outcome.answer) > KEPT_ANSWER_BYTES and work.entry.work.count > 1:
         kept = works.Outcome(outcome.code, outcome.detail)
@@ -168,6 +171,8 @@
     out: list,
 ) -> None:
     task = work.tasks[index]
+    if message.phase != works.Phase.NOT_RUN:
+        work.entry.assignments[index].ran = message.outcome
     task.phase = works.Phase.PENDING
     if _was_moved(work, message):
         dispatching.assign(st, work, index, out)
@@ -211,6 +216,17 @@
             dispatching.send_cancel(st, work, index, out)
 
 
+def final_phase(code: codes.Code) -> works.Phase:
+    """Returns the phase of a task that was settled with a result code."""
+    if code == codes.Code.OK:
+        return works.Phase.DONE
+    if code == codes.Code.UNKNOWN:
+        return works.Phase.UNKNOWN
+    if codes.is_not_run(code):
+        return works.Phase.NOT_RUN
+    return works.Phase.FAILED
+
+
 def whole_outcome(work: state.HomeWork, last: works.Outcome) -> works.Outcome:
     """Returns the outcome of work from those of its tasks."""
     if len(work.tasks) == 1:
@@ -228,10 +244,13 @@
     st: state.State, work: state.HomeWork, index: int, out: list
 ) -> None:
     """Settles a task that has not started by its deadline."""
-    outcome = works.Outcome(
-        codes.Code.DEADLINE_PASSED, "It could not start before its deadline."
-    )
-    work.tasks[index].phase = works.Phase.NOT_RUN
+    outcome = work.entry.assignments[index].ran
+    if outcome is None:
+        outcome = works.Outcome(
+            codes.Code.DEADLINE_PASSED,
+            "It could not start before its deadline.",
+        )
+    work.tasks[index].phase = final_phase(outcome.code)
     work.entry.assignments[index].outcome = outcome
     if all(other.phase in works.FINAL_PHASES for other in work.tasks):
         settle(st, work, whole_outcome(work, outcome), out)
--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -26,7 +26,8 @@
         return
     if message.resent and not summaries.all_known(st, shard):
         return
-    if message.resent and not task.idempotent and shard.unheard:
+    may_start = task.idempotent and task.start_before > st.now
+    if message.resent and shard.unheard and not may_start:
         outcome = works.Outcome(
             codes.Code.UNKNOWN, "A worker that may have run it is gone."
         )
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -151,6 +151,8 @@
     waited_ms = (st.now - waiting.since) * 1000
     if waiting.hold:
         placed.hold_until = st.now + st.tuning.hold_s
+        key = (task.task_id, task.attempt)
+        heapq.heappush(shard.holds, (placed.hold_until, key))
         text = f"Room on worker {worker_id} is held for it."
         settling.note_task(st, shard, task, account.Rule.RESERVATION, text, out)
         settling.tell(st, shard, task, works.Phase.HELD, worker, out)
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -132,6 +132,7 @@
         capacities: For each endpoint, what all of its workers have.
         rooms: For each endpoint, what is left; None when it has changed.
         places: Worker of each placed task.
+        holds: Heap of the deadlines of holds; may name tasks that left.
         ended: Settled updates that their homes have not yet taken.
         team_use: What each team has placed.
         releasing: Whether it is being given up.
@@ -147,6 +148,7 @@
     capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
     rooms: list[messages.Room] | None = None
     places: dict[TaskKey, str] = dataclasses.field(default_factory=dict)
+    holds: list[tuple[float, TaskKey]] = dataclasses.field(default_factory=list)
     ended: dict[TaskKey, "Ended"] = dataclasses.field(default_factory=dict)
     team_use: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
@@ -297,6 +299,9 @@
         bootstrap_key: Operator's token that counts while no operator's key
             was ever granted; empty for none.
         now: Time of the latest event, seconds since the epoch.
+        handles: Work of each open call.
+        resends: Heap of the times when waiters are looked at again.
+        followed: Epoch of each shard for which running tasks were asked.
     """
 
     name: str
@@ -338,6 +343,9 @@
         default_factory=list
     )
     waiters: dict[str, Waiter] = dataclasses.field(default_factory=dict)
+    handles: dict[int, str] = dataclasses.field(default_factory=dict)
+    resends: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    followed: dict[str, int] = dataclasses.field(default_factory=dict)
     queries: dict[int, Query] = dataclasses.field(default_factory=dict)
     operations: dict[int, Any] = dataclasses.field(default_factory=dict)
     counter: int = 0
