--- a/standins/mimosaridge_standins/workers.py
+++ b/standins/mimosaridge_standins/workers.py
@@ -76,6 +76,7 @@
         self.changed = gevent_event.Event()
         self.faults = Faults()
         self.starts: list[tuple[float, str, int]] = []
+        self.ends: list[tuple[float, str, int]] = []
         self.most_used = dict.fromkeys(AMOUNTS, 0)
         self.overcommits = 0
 
@@ -135,6 +136,7 @@
         if run is None or run.ended:
             return
         run.ended = True
+        self.ends.append((time.time(), *key))
         run.ok = ok
         run.detail = detail
         run.answer = base64.b64encode(answer).decode()
@@ -305,6 +307,7 @@
                         if not run.ended
                     ],
                     "starts": worker.starts,
+                    "ends": worker.ends,
                 }
                 for worker in workers.values()
             },
