--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -104,6 +104,19 @@
     lease_ends: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Capacity:
+    """What all workers of one endpoint in a shard have.
+
+    Attributes:
+        total: Sum over the workers.
+        widest: Largest capacity of each resource on one worker.
+    """
+
+    total: resources.Resources = resources.ZERO
+    widest: resources.Resources = resources.ZERO
+
+
 @dataclasses.dataclass(slots=True)
 class Shard:
     """A shard that this daemon owns.
@@ -115,7 +128,11 @@
         workers: Its workers by id.
         index: Workers that take work, found by what they have free.
         queue: Tasks that wait.
+        unheard: Workers that are not claimed under the present epoch.
+        capacities: For each endpoint, what all of its workers have.
+        rooms: For each endpoint, what is left; None when it has changed.
         places: Worker of each placed task.
+        holds: Heap of the deadlines of holds; may name tasks that left.
         ended: Settled updates that their homes have not yet taken.
         team_use: What each team has placed.
         releasing: Whether it is being given up.
@@ -127,7 +144,11 @@
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     index: placement.Index = dataclasses.field(default_factory=placement.Index)
     queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
+    unheard: set[str] = dataclasses.field(default_factory=set)
+    capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
+    rooms: list[messages.Room] | None = None
     places: dict[TaskKey, str] = dataclasses.field(default_factory=dict)
+    holds: list[tuple[float, TaskKey]] = dataclasses.field(default_factory=list)
     ended: dict[TaskKey, "Ended"] = dataclasses.field(default_factory=dict)
     team_use: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
@@ -278,6 +299,9 @@
         bootstrap_key: Operator's token that counts while no operator's key
             was ever granted; empty for none.
         now: Time of the latest event, seconds since the epoch.
+        handles: Work of each open call.
+        resends: Heap of the times when waiters are looked at again.
+        followed: Epoch of each shard for which running tasks were asked.
     """
 
     name: str
@@ -319,6 +343,9 @@
         default_factory=list
     )
     waiters: dict[str, Waiter] = dataclasses.field(default_factory=dict)
+    handles: dict[int, str] = dataclasses.field(default_factory=dict)
+    resends: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    followed: dict[str, int] = dataclasses.field(default_factory=dict)
     queries: dict[int, Query] = dataclasses.field(default_factory=dict)
     operations: dict[int, Any] = dataclasses.field(default_factory=dict)
     counter: int = 0
