Keep requests at most once and NOT_RUN true across homes and owners

Read from the code besides, and mended here: - A home told NOT_RUN before its ledger said so; a displaced home could be wrong. Now only facts (it ran) are told at once, the rest once recorded. - Refusals left no trace, so a late duplicate could still run. They are now recorded under the id. - An owner's NOT_RUN was taken though a newer owner had the attempt. The ledger now names the owner's epoch; other epochs' denials are ignored, and an owner ignores a PlaceTask meant for another epoch. - A PlaceTask that arrived after its attempt was over and forgotten started it again. Owners remember such attempts until the start deadline. - A store answer of an earlier tenure was taken for the present write. - Unconfirmed ends were dropped after the retention, then run again. - An id pruned by one clock could be accepted by another. - Another team's work of the same id was joined. - Work that waited for room was accepted only once it was sent. - Answers beyond 4 KiB went into the ledger; now a later call is told ANSWER_NOT_KEPT, while the home lives it has the whole answer for 60 s. - Each end of a task scanned all tasks of its job.

--- a/packages/core/mimosaridge_core/codes.py
+++ b/packages/core/mimosaridge_core/codes.py
@@ -16,6 +16,7 @@
     CANCELLED = 105
     UNKNOWN = 200
     TASK_FAILED = 201
+    ANSWER_NOT_KEPT = 202
     BAD_INPUT = 300
     TOO_LARGE = 301
     BAD_KEY = 302
@@ -23,6 +24,7 @@
     NOT_ALLOWED = 304
     NOT_FOUND = 305
     ID_EXPIRED = 306
+    ID_TAKEN = 307
     CONFLICT = 400
     PLAN_EXPIRED = 401
     STORE_UNAVAILABLE = 402
@@ -54,6 +56,10 @@
         " effect before sending it again."
     ),
     Code.TASK_FAILED: "It ran and failed; the detail carries the reason.",
+    Code.ANSWER_NOT_KEPT: (
+        "It ran and ended well; its answer was too large to be kept for a"
+        " later call."
+    ),
     Code.BAD_INPUT: "The input is malformed; the detail names each field.",
     Code.TOO_LARGE: "The input is larger than this daemon takes.",
     Code.BAD_KEY: "The key is missing, unknown or withdrawn.",
@@ -61,7 +67,11 @@
     Code.NOT_ALLOWED: "The key's role does not allow this.",
     Code.NOT_FOUND: "There is no such thing.",
     Code.ID_EXPIRED: (
-        "It did not run: its id is older than outcomes are kept; send it"
+        "This call did not start it: its id is older than outcomes are kept;"
+        " what became of an earlier call with this id is no longer known."
+    ),
+    Code.ID_TAKEN: (
+        "This call did not start it: other work has the same id; send it"
         " under a new id."
     ),
     Code.CONFLICT: (
@@ -80,4 +90,4 @@
 
 def is_not_run(code: Code) -> bool:
     """Tells whether the code promises that the work never ran."""
-    return 100 <= code < 200 or 300 <= code < 400
+    return 100 <= code < 200
--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -35,45 +35,75 @@
     if not shard:
         set_timer(st, st.now + FIRST_RETRY_S, work, index)
         return
+    view = st.views.get(shard)
+    if view is None:
+        set_timer(st, st.now + FIRST_RETRY_S, work, index)
+        return
     assignment.shard = shard
+    assignment.epoch = view.epoch
     assignment.attempt += 1
     task = work.tasks[index]
     task.phase = works.Phase.PLACING
     task.sent = False
+    _record_then_send(st, work, index, out)
+
+
+def _record_then_send(
+    st: state.State, work: state.HomeWork, index: int, out: list
+) -> None:
     bucket = st.buckets.get(work.home)
     if bucket is None:
         send_task(st, work, index, out)
         return
     bucket.dirty = True
-    bucket.unsent.append((spec.work_id, index))
+    bucket.unsent.append((work.entry.work.work_id, index))
 
 
 def send_task(
     st: state.State, work: state.HomeWork, index: int, out: list
 ) -> None:
-    """Sends an attempt to its shard's owner, and again until it answers."""
+    """Sends an attempt to its shard's owner, and again until it answers.
+
+    The ledger names the owner's epoch. A newer owner is first recorded there,
+    so that no home takes the word of an owner that was replaced.
+    """
     spec = work.entry.work
     assignment = work.entry.assignments[index]
     task = work.tasks[index]
     view = st.views.get(assignment.shard)
     set_timer(st, st.now + st.tuning.resend_s, work, index)
-    if view is None:
+    if view is None or view.epoch < assignment.epoch:
+        return
+    if view.epoch > assignment.epoch:
+        assignment.epoch = view.epoch
+        _record_then_send(st, work, index, out)
         return
     text = f"Sent to {view.owner}, owner of {assignment.shard}."
     task_id = f"{spec.work_id}/{index}"
-    if not task.sent or task.epoch != view.epoch:
+    if not task.sent:
         state.note(st, out, account.Rule.ROUTING, text, spec.work_id, task_id)
     message = messages.PlaceTask(
         assignment.shard,
         routing.task_of(spec, index, assignment.attempt, work.home),
+        assignment.epoch,
         hold=spec.kind == works.Kind.GANG,
         resent=task.sent,
     )
     task.sent = True
-    task.epoch = view.epoch
     out.append(effects.SendPeer(view.owner, message))
 
 
+def send_recorded(
+    st: state.State, work: state.HomeWork, index: int, out: list
+) -> None:
+    """Sends an attempt that the ledger now names, unless it was cancelled."""
+    task = work.tasks[index]
+    if work.entry.cancelled and not task.sent:
+        outcomes.give_up(st, work, index, outcomes.CANCELLED, out)
+    elif task.phase != works.Phase.PENDING:
+        send_task(st, work, index, out)
+
+
 def send_cancel(
     st: state.State, work: state.HomeWork, index: int, out: list
 ) -> None:
@@ -121,12 +151,15 @@
             )
             outcomes.settle(st, work, outcome, out)
         return
-    if entry.settled_at + st.tuning.retention_s > st.now:
+    if outcomes.kept_until(st, entry) > st.now:
+        if entry.settled_at + st.tuning.answer_s <= st.now:
+            work.whole = None
         return
     del st.works[entry.work.work_id]
     bucket = st.buckets.get(work.home)
     if bucket is not None:
         bucket.ledger.entries.pop(entry.work.work_id, None)
+        bucket.size_bytes -= ledgers.size_of(entry)
         bucket.dirty = True
 
 
@@ -138,7 +171,7 @@
         if work.entry.cancelled:
             outcomes.cancel(st, work, out)
         elif work.entry.work.start_before <= st.now:
-            outcomes.give_up(st, work, index, out)
+            outcomes.give_up(st, work, index, outcomes.TOO_LATE, out)
         else:
             assign(st, work, index, out)
     elif task.phase in (works.Phase.PLACING, works.Phase.HELD):
@@ -146,6 +179,8 @@
             send_task(st, work, index, out)
     elif task.phase == works.Phase.RUNNING:
         _follow_owner(st, work, index, out)
+    if work.entry.cancelled and task.phase not in works.FINAL_PHASES:
+        send_cancel(st, work, index, out)
 
 
 def _follow_owner(
@@ -153,7 +188,7 @@
 ) -> None:
     """Asks a shard's new owner for a task that runs."""
     view = st.views.get(work.entry.assignments[index].shard)
-    if view is not None and view.epoch != work.tasks[index].epoch:
+    if view is not None and view.epoch > work.entry.assignments[index].epoch:
         send_task(st, work, index, out)
     else:
         set_timer(st, st.now + st.tuning.resend_s, work, index)
--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -44,11 +44,13 @@
     Attributes:
         attempt: The attempt that was sent.
         shard: The shard that it was sent to; empty if none holds it.
+        epoch: Epoch of the shard's owner that it was sent to.
         outcome: What became of it, once settled.
     """
 
     attempt: int = 0
     shard: str = ""
+    epoch: int = 0
     outcome: works.Outcome | None = None
 
 
--- a/packages/core/mimosaridge_core/expiry.py
+++ b/packages/core/mimosaridge_core/expiry.py
@@ -12,6 +12,7 @@
 @dispatch.every_tick
 def _look_after(st: state.State, out: list) -> None:
     for shard in st.shards.values():
+        shard.taken.expire(st.now)
         _resend_ended(st, shard, out)
         _expire_waiting(st, shard, out)
         _expire_held(st, shard, out)
@@ -19,11 +20,14 @@
 
 
 def _resend_ended(st: state.State, shard: state.Shard, out: list) -> None:
-    for key, ended in list(shard.ended.items()):
-        if ended.until <= st.now:
-            del shard.ended[key]
+    for ended in shard.ended.values():
+        if ended.until <= st.now and ended.update.outcome.answer:
+            ended.update.outcome = works.Outcome(
+                ended.update.outcome.code,
+                "Its home did not take the answer in time; it is not kept.",
+            )
             settling.forget(shard, ended, out)
-        elif ended.resend_at <= st.now:
+        if ended.resend_at <= st.now:
             settling.send_ended(st, ended, out)
 
 
@@ -58,6 +62,9 @@
             continue
         for key, placed in list(worker.placed.items()):
             rooms.give_room(shard, worker, key)
+            if placed.phase == works.Phase.HELD:
+                settling.settle_cancelled(st, shard, placed.task, out)
+                continue
             outcome = works.Outcome(
                 codes.Code.UNKNOWN,
                 f"Worker {worker.host.worker_id} is gone and its lease ended.",
--- a/packages/core/mimosaridge_core/homes.py
+++ b/packages/core/mimosaridge_core/homes.py
@@ -5,6 +5,8 @@
 request lives at the daemon that its caller spoke to.
 """
 
+import dataclasses
+
 from mimosaridge_core import buckets
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
@@ -13,8 +15,10 @@
 from mimosaridge_core import effects
 from mimosaridge_core import ledgers
 from mimosaridge_core import messages
+from mimosaridge_core import outcomes
 from mimosaridge_core import routing
 from mimosaridge_core import state
+from mimosaridge_core import workids
 from mimosaridge_core import works
 
 
@@ -22,7 +26,7 @@
     """Takes work, or tells the origin how work of this id stands."""
     known = st.works.get(work.work_id)
     if known is not None:
-        _join(st, known, origin, out)
+        _join(st, known, work, origin, out)
         return
     home = buckets.home_of(st, work)
     bucket = st.buckets.get(home)
@@ -33,11 +37,29 @@
         and (bucket is None or bucket.releasing)
     ):
         return
-    refusal = _refusal(st, work, bucket)
-    if refusal is not None:
-        settled = messages.WorkSettled(work.work_id, refusal)
-        out.append(effects.SendPeer(origin, settled))
+    if bucket is not None and _expired(st, work):
+        expired = works.Outcome(codes.Code.ID_EXPIRED)
+        _answer(origin, work, expired, out)
         return
+    refusal = _refusal(st, work, bucket)
+    if refusal is not None and bucket is None:
+        _answer(origin, work, refusal, out)
+    elif refusal is not None:
+        _record_refusal(st, work, bucket, refusal, origin, out)
+    else:
+        _take(st, work, home, bucket, origin, out)
+    if bucket is not None:
+        ledgers.flush(st, bucket, out)
+
+
+def _take(
+    st: state.State,
+    work: works.Work,
+    home: str,
+    bucket: state.Bucket | None,
+    origin: str,
+    out: list,
+) -> None:
     entry = documents.Entry(
         work, [documents.Assignment() for _ in range(work.count)]
     )
@@ -45,12 +67,48 @@
     home_work = state.HomeWork(entry, home, tasks, {origin})
     st.works[work.work_id] = home_work
     if bucket is not None:
-        bucket.ledger.entries[work.work_id] = entry
-        bucket.dirty = True
+        ledgers.add(bucket, entry)
     dispatching.dispatch_all(st, home_work, out)
     dispatching.set_timer(st, work.start_before, home_work, -1)
-    if bucket is not None:
-        ledgers.flush(st, bucket, out)
+
+
+def _record_refusal(
+    st: state.State,
+    work: works.Work,
+    bucket: state.Bucket,
+    refusal: works.Outcome,
+    origin: str,
+    out: list,
+) -> None:
+    """Settles work as refused; the origin hears it once that is recorded.
+
+    Until then another daemon may hold the bucket and have run it, and after
+    that no later message with the same id may start it.
+    """
+    room = st.tuning.ledger_bytes + ledgers.REFUSALS_BYTES
+    if bucket.size_bytes > room:
+        return
+    bare = dataclasses.replace(work, body=b"", count=0)
+    home_work = state.HomeWork(
+        documents.Entry(bare, []), bucket.name, [], {origin}
+    )
+    st.works[work.work_id] = home_work
+    ledgers.add(bucket, home_work.entry)
+    outcomes.settle(st, home_work, refusal, out)
+
+
+def _answer(
+    origin: str, work: works.Work, outcome: works.Outcome, out: list
+) -> None:
+    settled = messages.WorkSettled(work.work_id, outcome)
+    out.append(effects.SendPeer(origin, settled))
+
+
+def _expired(st: state.State, work: works.Work) -> bool:
+    """Tells whether an outcome of this id may have been forgotten."""
+    if work.kind == works.Kind.SERVICE:
+        return False
+    return workids.made_at(work.work_id) < st.now - st.tuning.retention_s
 
 
 def _refusal(
@@ -66,10 +124,8 @@
             "No worker of the fleet is large enough for one of its tasks.",
         )
     if bucket is not None:
-        size = sum(
-            len(entry.work.body) for entry in bucket.ledger.entries.values()
-        )
-        if size + len(work.body) > st.tuning.ledger_bytes:
+        size = ledgers.size_of_work(work) + bucket.size_bytes
+        if size > st.tuning.ledger_bytes:
             return works.Outcome(
                 codes.Code.OVERLOADED, f"The ledger of {bucket.name} is full."
             )
@@ -77,13 +133,19 @@
 
 
 def _join(
-    st: state.State, work: state.HomeWork, origin: str, out: list
+    st: state.State,
+    work: state.HomeWork,
+    again: works.Work,
+    origin: str,
+    out: list,
 ) -> None:
+    if work.entry.work.team != again.team:
+        _answer(origin, again, works.Outcome(codes.Code.ID_TAKEN), out)
+        return
     work.origins.add(origin)
     work_id = work.entry.work.work_id
-    if work.entry.outcome is not None and work.recorded:
-        settled = messages.WorkSettled(work_id, work.entry.outcome)
-        out.append(effects.SendPeer(origin, settled))
+    if outcomes.may_be_told(work):
+        _answer(origin, again, work.whole or work.entry.outcome, out)
     elif work.recorded:
         out.append(effects.SendPeer(origin, messages.WorkAccepted(work_id)))
 
--- a/packages/core/mimosaridge_core/ingress.py
+++ b/packages/core/mimosaridge_core/ingress.py
@@ -1,7 +1,5 @@
 """Callers' work: checked here, forwarded to its home, answered from there."""
 
-import uuid
-
 from mimosaridge_core import account
 from mimosaridge_core import buckets
 from mimosaridge_core import codes
@@ -12,6 +10,7 @@
 from mimosaridge_core import keys
 from mimosaridge_core import messages
 from mimosaridge_core import state
+from mimosaridge_core import workids
 from mimosaridge_core import works
 
 MOST_TASKS = 10_000
@@ -21,7 +20,8 @@
     st: state.State, event: events.WorkSubmitted
 ) -> works.Outcome | None:
     """Returns a refusal, or None if the work may be taken."""
-    if st.draining:
+    local = buckets.home_of(st, event.work) == st.name
+    if st.draining and local:
         return works.Outcome(codes.Code.DRAINING)
     refusal = _check_key(st, event)
     if refusal is not None:
@@ -29,8 +29,6 @@
     if event.work.team not in st.config.teams:
         detail = f"There is no team {event.work.team!r}."
         return works.Outcome(codes.Code.WRONG_TEAM, detail)
-    if event.work.start_before <= st.now:
-        return works.Outcome(codes.Code.DEADLINE_PASSED)
     return _check_id(st, event.work)
 
 
@@ -54,7 +52,7 @@
 
 
 def _check_id(st: state.State, work: works.Work) -> works.Outcome | None:
-    made_at = (uuid.UUID(work.work_id).int >> 80) / 1000
+    made_at = workids.made_at(work.work_id)
     if made_at < st.now - st.tuning.retention_s:
         return works.Outcome(codes.Code.ID_EXPIRED)
     if made_at > st.now + st.tuning.skew_s:
@@ -93,6 +91,10 @@
         home = buckets.home_of(st, work)
         waiter = state.Waiter(work, home, {}, 0.0)
         st.waiters[work.work_id] = waiter
+    if waiter.work.team != work.team:
+        detail = codes.MEANINGS[codes.Code.ID_TAKEN]
+        out.append(effects.Reply(event.handle, codes.Code.ID_TAKEN, detail))
+        return
     waiter.handles[event.handle] = event.wait
     _forward(st, waiter, out)
 
@@ -150,16 +152,32 @@
     for waiter in list(st.waiters.values()):
         if waiter.resend_at > st.now:
             continue
-        work = waiter.work
-        if work.start_before <= st.now and not waiter.accepted:
-            _ask_or_give_up(st, waiter, out)
+        patience = waiter.work.start_before + st.tuning.proof_s
+        if patience <= st.now and not waiter.accepted:
+            _give_up(st, waiter, out)
         else:
             _forward(st, waiter, out)
 
 
-def _ask_or_give_up(st: state.State, waiter: state.Waiter, out: list) -> None:
-    """Keeps asking the home past the deadline: it may have started the work."""
-    _forward(st, waiter, out)
+def _give_up(st: state.State, waiter: state.Waiter, out: list) -> None:
+    """Ends the wait for a home that doesn't prove what became of work."""
+    work_id = waiter.work.work_id
+    del st.waiters[work_id]
+    outcome = works.Outcome(
+        codes.Code.UNKNOWN,
+        "Its home could not record or prove what became of it; ask again"
+        " under the same id, which never runs it twice.",
+    )
+    state.note(
+        st,
+        out,
+        account.Rule.SETTLED,
+        outcome.detail,
+        work_id,
+        code=outcome.code,
+    )
+    for handle in waiter.handles:
+        out.append(effects.Reply(handle, outcome.code, outcome.detail, outcome))
 
 
 @dispatch.handles(events.WorkQueried)
--- a/packages/core/mimosaridge_core/ledgers.py
+++ b/packages/core/mimosaridge_core/ledgers.py
@@ -15,6 +15,11 @@
 from mimosaridge_core import state
 from mimosaridge_core import works
 
+REFUSALS_BYTES = 100_000
+ENTRY_BYTES = 600
+ASSIGNMENT_BYTES = 150
+ENCODED_BYTES_PER_BYTE = 4 / 3
+
 
 @dataclasses.dataclass(slots=True)
 class LedgerRead:
@@ -32,6 +37,8 @@
         bucket: The bucket.
         epoch: Epoch of the owner that writes.
         write_id: Names the write.
+        accepted: Work whose acceptance it records.
+        settled: Work whose outcome it records.
         unsent: Tasks to be sent once it is written.
         untaken: Updates to be confirmed once it is written.
         reading_back: Whether the answer was lost and the key is being read.
@@ -40,11 +47,38 @@
     bucket: str
     epoch: int
     write_id: str
+    accepted: list[str]
+    settled: list[str]
     unsent: list[tuple[str, int]]
     untaken: list[tuple[str, messages.UpdateTaken]]
     reading_back: bool = False
 
 
+def size_of_work(work: works.Work) -> int:
+    """Estimates the bytes that new work takes in the store."""
+    body = int(len(work.body) * ENCODED_BYTES_PER_BYTE)
+    return ENTRY_BYTES + body + ASSIGNMENT_BYTES * work.count
+
+
+def size_of(entry: documents.Entry) -> int:
+    """Estimates the bytes that an entry takes in the store."""
+    answers = [item.outcome for item in entry.assignments]
+    kept = sum(
+        len(outcome.answer)
+        for outcome in (*answers, entry.outcome)
+        if outcome is not None
+    )
+    return size_of_work(entry.work) + int(kept * ENCODED_BYTES_PER_BYTE)
+
+
+def add(bucket: state.Bucket, entry: documents.Entry) -> None:
+    """Adds an entry; its acceptance holds once the ledger is written."""
+    bucket.ledger.entries[entry.work.work_id] = entry
+    bucket.size_bytes += size_of(entry)
+    bucket.accepted.append(entry.work.work_id)
+    bucket.dirty = True
+
+
 def acquire(st: state.State, name: str, epoch: int, out: list) -> None:
     """Takes a bucket under an epoch and reads its ledger."""
     bucket = st.buckets.get(name)
@@ -70,7 +104,7 @@
     out: list,
 ) -> None:
     bucket = st.buckets.get(operation.partition)
-    if bucket is None or bucket.loaded:
+    if bucket is None or bucket.loaded or bucket.epoch != operation.epoch:
         return
     if event.result == "unknown":
         _read_ledger(st, bucket.name, bucket.epoch, out)
@@ -78,6 +112,8 @@
     bucket.ledger = event.value or documents.Ledger()
     bucket.revision = event.revision
     bucket.loaded = True
+    entries = bucket.ledger.entries.values()
+    bucket.size_bytes = sum(size_of(entry) for entry in entries)
     for entry in bucket.ledger.entries.values():
         _resume(st, bucket, entry, out)
     services.sync_services(st, out)
@@ -93,14 +129,14 @@
     work = state.HomeWork(entry, bucket.name, tasks, recorded=True)
     st.works[entry.work.work_id] = work
     if entry.outcome is not None:
-        dispatching.set_timer(
-            st, entry.settled_at + st.tuning.retention_s, work, -1
-        )
+        work.outcome_recorded = True
+        dispatching.set_timer(st, outcomes.kept_until(st, entry), work, -1)
         return
     for index, assignment in enumerate(entry.assignments):
         task = tasks[index]
         if assignment.outcome is not None:
             task.phase = _final_phase(assignment.outcome.code)
+            work.unsettled.discard(index)
         elif assignment.shard:
             task.phase = works.Phase.PLACING
             task.sent = True
@@ -138,11 +174,20 @@
     bucket.flush_at = st.now + st.tuning.flush_s
     number = st.next_number()
     write_id = f"{st.name}/{bucket.epoch}/{number}"
+    bucket.write_id = write_id
     bucket.ledger.writer = st.name
     bucket.ledger.write_id = write_id
     st.operations[number] = LedgerWritten(
-        bucket.name, bucket.epoch, write_id, bucket.unsent, bucket.untaken
+        bucket.name,
+        bucket.epoch,
+        write_id,
+        bucket.accepted,
+        bucket.settled,
+        bucket.unsent,
+        bucket.untaken,
     )
+    bucket.accepted = []
+    bucket.settled = []
     bucket.unsent = []
     bucket.untaken = []
     key = documents.LEDGERS + bucket.name
@@ -157,7 +202,7 @@
     out: list,
 ) -> None:
     bucket = st.buckets.get(operation.bucket)
-    if bucket is None or not bucket.writing:
+    if bucket is None or bucket.write_id != operation.write_id:
         return
     if event.result == "unknown":
         operation.reading_back = True
@@ -192,6 +237,8 @@
 ) -> None:
     bucket.writing = False
     bucket.dirty = True
+    bucket.accepted = operation.accepted + bucket.accepted
+    bucket.settled = operation.settled + bucket.settled
     bucket.unsent = operation.unsent + bucket.unsent
     bucket.untaken = operation.untaken + bucket.untaken
     flush(st, bucket, out)
@@ -220,15 +267,20 @@
 ) -> None:
     for sender, taken in operation.untaken:
         out.append(effects.SendPeer(sender, taken))
-    for work_id, index in operation.unsent:
+    for work_id in operation.accepted:
         work = st.works.get(work_id)
-        if work is None:
-            continue
-        if not work.recorded:
+        if work is not None:
             work.recorded = True
             _announce(st, bucket, work, out)
-        if work.tasks[index].phase == works.Phase.PLACING:
-            dispatching.send_task(st, work, index, out)
+    for work_id in operation.settled:
+        work = st.works.get(work_id)
+        if work is not None:
+            work.outcome_recorded = True
+            outcomes.tell(work, out)
+    for work_id, index in operation.unsent:
+        work = st.works.get(work_id)
+        if work is not None and index in work.unsettled:
+            dispatching.send_recorded(st, work, index, out)
 
 
 def _announce(
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -127,6 +127,7 @@
     Attributes:
         shard: The shard.
         task: The task.
+        epoch: The shard's epoch that it is meant for; others ignore it.
         hold: Reserve room and wait for StartHeld.
         resent: Sent before; answered only by an owner that knows what every
             worker of the shard runs.
@@ -134,6 +135,7 @@
 
     shard: str
     task: works.Task
+    epoch: int
     hold: bool = False
     resent: bool = False
 
@@ -165,6 +167,7 @@
         attempt: The attempt that this is about.
         work_id: The work it belongs to.
         shard: The shard.
+        epoch: Epoch of the owner that says so.
         phase: Where the task stands.
         worker: Worker that it runs on, if any.
         outcome: Code, detail and answer of a settled attempt.
@@ -174,6 +177,7 @@
     attempt: int
     work_id: str
     shard: str
+    epoch: int
     phase: works.Phase
     worker: str = ""
     outcome: works.Outcome | None = None
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -5,6 +5,7 @@
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import dispatching
+from mimosaridge_core import documents
 from mimosaridge_core import effects
 from mimosaridge_core import ledgers
 from mimosaridge_core import messages
@@ -13,6 +14,12 @@
 
 LONGEST_RETRY_S = 5.0
 KEPT_ANSWER_BYTES = 4096
+SKEWS_BEFORE_FORGOTTEN = 4
+TOO_LATE = works.Outcome(
+    codes.Code.DEADLINE_PASSED, "It could not start before its deadline."
+)
+CANCELLED = works.Outcome(codes.Code.CANCELLED, "It was cancelled.")
+FACTS = (codes.Code.OK, codes.Code.TASK_FAILED)
 
 
 @dispatch.receives(messages.TaskUpdate)
@@ -28,11 +35,13 @@
         return
     index = int(message.task_id.rpartition("/")[2])
     current = (
-        index < len(work.tasks)
+        index in work.unsettled
         and work.entry.assignments[index].attempt == message.attempt
-        and work.tasks[index].phase not in works.FINAL_PHASES
+        and work.tasks[index].phase != works.Phase.PENDING
         and work.entry.outcome is None
     )
+    if current and not _is_valid(work.entry.assignments[index], message):
+        return
     if message.outcome is not None:
         _confirm(st, work, sender, taken, out)
     if current:
@@ -42,6 +51,22 @@
         ledgers.flush(st, bucket, out)
 
 
+def _is_valid(
+    assignment: documents.Assignment, message: messages.TaskUpdate
+) -> bool:
+    """Tells whether an owner may know what it says.
+
+    That a task ran is a fact whoever says it. That it did not, or that its
+    fate is unknown, only the owner can say that the ledger names: one that
+    was replaced doesn't see what its successor started.
+    """
+    if message.phase in (works.Phase.DONE, works.Phase.FAILED):
+        return True
+    if message.phase == works.Phase.RUNNING:
+        return message.epoch >= assignment.epoch
+    return message.epoch == assignment.epoch
+
+
 def _update_for_nobody(
     st: state.State,
     sender: str,
@@ -130,16 +155,34 @@
     if _tries_again(st, work, index, message):
         _retry(st, work, index, message, out)
         return
-    task.phase = message.phase
     outcome = message.outcome
-    kept = outcome
-    if len(outcome.answer) > KEPT_ANSWER_BYTES and work.entry.work.count > 1:
-        kept = works.Outcome(outcome.code, outcome.detail)
-    work.entry.assignments[index].outcome = kept
-    if all(other.phase in works.FINAL_PHASES for other in work.tasks):
+    finish_task(work, index, message.phase, _kept(outcome))
+    if not work.unsettled:
         settle(st, work, whole_outcome(work, outcome), out)
 
 
+def _kept(outcome: works.Outcome) -> works.Outcome:
+    """Returns what the ledger keeps of an outcome."""
+    if len(outcome.answer) <= KEPT_ANSWER_BYTES:
+        return outcome
+    code = outcome.code
+    if code == codes.Code.OK:
+        code = codes.Code.ANSWER_NOT_KEPT
+    return works.Outcome(code, outcome.detail)
+
+
+def finish_task(
+    work: state.HomeWork,
+    index: int,
+    phase: works.Phase,
+    outcome: works.Outcome,
+) -> None:
+    """Notes the end of a task."""
+    work.tasks[index].phase = phase
+    work.entry.assignments[index].outcome = outcome
+    work.unsettled.discard(index)
+
+
 def _tries_again(
     st: state.State,
     work: state.HomeWork,
@@ -207,7 +250,8 @@
     if len(work.tasks) == 1:
         return last
     outcomes = [item.outcome for item in work.entry.assignments]
-    bad = [item for item in outcomes if item.code != codes.Code.OK]
+    good = (codes.Code.OK, codes.Code.ANSWER_NOT_KEPT)
+    bad = [item for item in outcomes if item.code not in good]
     if not bad:
         text = f"All {len(outcomes)} tasks ended well."
         return works.Outcome(codes.Code.OK, text)
@@ -216,15 +260,15 @@
 
 
 def give_up(
-    st: state.State, work: state.HomeWork, index: int, out: list
+    st: state.State,
+    work: state.HomeWork,
+    index: int,
+    outcome: works.Outcome,
+    out: list,
 ) -> None:
-    """Settles a task that has not started by its deadline."""
-    outcome = works.Outcome(
-        codes.Code.DEADLINE_PASSED, "It could not start before its deadline."
-    )
-    work.tasks[index].phase = works.Phase.NOT_RUN
-    work.entry.assignments[index].outcome = outcome
-    if all(other.phase in works.FINAL_PHASES for other in work.tasks):
+    """Settles a task that no owner was ever asked to start."""
+    finish_task(work, index, works.Phase.NOT_RUN, outcome)
+    if not work.unsettled:
         settle(st, work, whole_outcome(work, outcome), out)
 
 
@@ -233,20 +277,53 @@
 ) -> None:
     """Settles work and tells the daemons whose callers wait for it."""
     entry = work.entry
-    entry.outcome = outcome
+    entry.outcome = _kept(outcome)
     entry.settled_at = st.now
     work_id = entry.work.work_id
     text = codes.MEANINGS[outcome.code]
     state.note(st, out, account.Rule.SETTLED, text, work_id, code=outcome.code)
-    for origin in sorted(work.origins):
-        settled = messages.WorkSettled(work_id, outcome)
-        out.append(effects.SendPeer(origin, settled))
+    work.whole = outcome
     bucket = st.buckets.get(work.home)
+    if bucket is None or may_be_told(work):
+        tell(work, out)
     if bucket is None:
         del st.works[work_id]
         return
+    bucket.size_bytes += len(entry.outcome.answer)
+    bucket.settled.append(work_id)
     bucket.dirty = True
-    dispatching.set_timer(st, st.now + st.tuning.retention_s, work, -1)
+    dispatching.set_timer(st, st.now + st.tuning.answer_s, work, -1)
+    dispatching.set_timer(st, kept_until(st, entry), work, -1)
+
+
+def may_be_told(work: state.HomeWork) -> bool:
+    """Tells whether an outcome holds whoever else may hold the bucket.
+
+    That work ran is a fact. That it did not run holds once the ledger says
+    so, for a displaced home can't write it.
+    """
+    outcome = work.entry.outcome
+    if outcome is None:
+        return False
+    return work.outcome_recorded or work.whole.code in FACTS
+
+
+def tell(work: state.HomeWork, out: list) -> None:
+    """Tells the outcome to the daemons whose callers wait for it."""
+    outcome = work.whole or work.entry.outcome
+    settled = messages.WorkSettled(work.entry.work.work_id, outcome)
+    for origin in sorted(work.origins):
+        out.append(effects.SendPeer(origin, settled))
+
+
+def kept_until(st: state.State, entry: documents.Entry) -> float:
+    """Returns when an outcome may be forgotten, seconds since the epoch.
+
+    From then on every daemon refuses its id as too old, whatever the
+    difference between the clocks of caller, daemons and homes.
+    """
+    margin_s = SKEWS_BEFORE_FORGOTTEN * st.tuning.skew_s
+    return entry.settled_at + st.tuning.retention_s + margin_s
 
 
 def cancel(st: state.State, work: state.HomeWork, out: list) -> None:
@@ -255,16 +332,13 @@
     bucket = st.buckets.get(work.home)
     if bucket is not None:
         bucket.dirty = True
-    outcome = works.Outcome(codes.Code.CANCELLED, "It was cancelled.")
-    for index, task in enumerate(work.tasks):
-        if task.phase == works.Phase.PENDING:
-            task.phase = works.Phase.NOT_RUN
-            work.entry.assignments[index].outcome = outcome
-        elif task.phase not in works.FINAL_PHASES:
+    for index in sorted(work.unsettled):
+        if work.tasks[index].phase == works.Phase.PENDING:
+            finish_task(work, index, works.Phase.NOT_RUN, CANCELLED)
+        else:
             dispatching.send_cancel(st, work, index, out)
-    settled = all(task.phase in works.FINAL_PHASES for task in work.tasks)
-    if settled and work.entry.outcome is None:
-        settle(st, work, whole_outcome(work, outcome), out)
+    if not work.unsettled and work.entry.outcome is None:
+        settle(st, work, whole_outcome(work, CANCELLED), out)
 
 
 @dispatch.receives(messages.CancelWork)
--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -18,7 +18,7 @@
     st: state.State, sender: str, message: messages.PlaceTask, out: list
 ) -> None:
     shard = st.shards.get(message.shard)
-    if shard is None or shard.releasing:
+    if shard is None or shard.releasing or shard.epoch != message.epoch:
         return
     task = message.task
     key = (task.task_id, task.attempt)
@@ -48,6 +48,8 @@
     st: state.State, shard: state.Shard, key: state.TaskKey, out: list
 ) -> bool:
     """Answers a message about a task that is known already."""
+    if shard.taken.covers(*key):
+        return True
     if key in shard.ended:
         shard.ended[key].resend_at = st.now
         return True
@@ -152,4 +154,6 @@
         return
     ended = shard.ended.pop((message.task_id, message.attempt), None)
     if ended is not None:
+        until = ended.start_before + st.tuning.skew_s
+        shard.taken.add(message.task_id, message.attempt, until)
         settling.forget(shard, ended, out)
--- a/packages/core/mimosaridge_core/services.py
+++ b/packages/core/mimosaridge_core/services.py
@@ -49,6 +49,7 @@
     bucket = st.buckets[work.home]
     bucket.dirty = True
     while len(work.tasks) < spec.count:
+        work.unsettled.add(len(work.tasks))
         work.tasks.append(state.TaskState())
         work.entry.assignments.append(documents.Assignment())
         dispatching.assign(st, work, len(work.tasks) - 1, out)
@@ -56,6 +57,7 @@
         index = len(work.tasks) - 1
         dispatching.send_cancel(st, work, index, out)
         work.tasks.pop()
+        work.unsettled.discard(index)
         work.entry.assignments.pop()
 
 
--- a/packages/core/mimosaridge_core/settling.py
+++ b/packages/core/mimosaridge_core/settling.py
@@ -45,6 +45,7 @@
         task.attempt,
         task.work_id,
         shard.name,
+        shard.epoch,
         phase,
         worker.host.worker_id,
     )
@@ -70,6 +71,7 @@
         task.attempt,
         task.work_id,
         shard.name,
+        shard.epoch,
         phase,
         worker_id,
         outcome,
@@ -80,6 +82,7 @@
         worker_id,
         st.now,
         st.now + st.tuning.retention_s,
+        task.start_before,
     )
     shard.ended[(task.task_id, task.attempt)] = ended
     send_ended(st, ended, out)
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -14,6 +14,7 @@
 from mimosaridge_core import placement
 from mimosaridge_core import queueing
 from mimosaridge_core import resources
+from mimosaridge_core import takens
 from mimosaridge_core import tunables
 from mimosaridge_core import works
 
@@ -113,6 +114,7 @@
         queue: Tasks that wait.
         places: Worker of each placed task.
         ended: Settled updates that their homes have not yet taken.
+        taken: Attempts whose ends their homes have kept.
         team_use: What each team has placed.
         releasing: Whether it is being given up.
     """
@@ -125,6 +127,7 @@
     queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
     places: dict[TaskKey, str] = dataclasses.field(default_factory=dict)
     ended: dict[TaskKey, "Ended"] = dataclasses.field(default_factory=dict)
+    taken: takens.Takens = dataclasses.field(default_factory=takens.Takens)
     team_use: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
@@ -140,7 +143,8 @@
         home: Where it goes.
         worker_id: Worker that keeps the answer; empty if none does.
         resend_at: When it is sent again, seconds since the epoch.
-        until: When it is dropped, seconds since the epoch.
+        until: When its answer is dropped, seconds since the epoch.
+        start_before: Deadline of the attempt's start.
     """
 
     update: messages.TaskUpdate
@@ -148,6 +152,7 @@
     worker_id: str
     resend_at: float
     until: float
+    start_before: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -157,15 +162,13 @@
     Attributes:
         phase: Where it stands.
         worker: Worker that it runs on, if any.
-        sent: Whether its attempt was sent to a shard.
-        epoch: Epoch of the shard when it was last sent.
+        sent: Whether its attempt may have been sent to a shard.
         failures: Attempts that failed.
     """
 
     phase: works.Phase = works.Phase.PENDING
     worker: str = ""
     sent: bool = False
-    epoch: int = 0
     failures: int = 0
 
 
@@ -178,14 +181,25 @@
         home: Bucket, or this daemon's name.
         tasks: Its tasks by index.
         origins: Daemons whose callers wait for it.
+        unsettled: Indexes of the tasks that have not come to their end.
         recorded: Whether the store has it.
+        outcome_recorded: Whether the store has its outcome.
+        whole: Outcome with its whole answer, which may be too large for the
+            ledger; forgotten with this daemon.
     """
 
     entry: documents.Entry
     home: str
     tasks: list[TaskState]
     origins: set[str] = dataclasses.field(default_factory=set)
+    unsettled: set[int] = dataclasses.field(default_factory=set)
     recorded: bool = False
+    outcome_recorded: bool = False
+    whole: works.Outcome | None = None
+
+    def __post_init__(self) -> None:
+        """Counts every task as unsettled until its end is applied."""
+        self.unsettled = set(range(len(self.tasks)))
 
 
 @dataclasses.dataclass(slots=True)
@@ -200,7 +214,11 @@
         loaded: Whether the ledger has been read.
         dirty: Whether the ledger differs from the store's.
         writing: Whether a write is on its way.
+        write_id: Names the latest write.
+        size_bytes: Estimate of the ledger's size in the store.
         flush_at: Earliest time of the next write.
+        accepted: Work whose acceptance the next write records.
+        settled: Work whose outcome the next write records.
         unsent: Tasks to be sent once the ledger is written.
         untaken: Updates to be confirmed once the ledger is written.
         releasing: Whether it is being given up.
@@ -215,7 +233,11 @@
     loaded: bool = False
     dirty: bool = False
     writing: bool = False
+    write_id: str = ""
+    size_bytes: int = 0
     flush_at: float = 0.0
+    accepted: list[str] = dataclasses.field(default_factory=list)
+    settled: list[str] = dataclasses.field(default_factory=list)
     unsent: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     untaken: list[tuple[str, messages.UpdateTaken]] = dataclasses.field(
         default_factory=list
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -18,6 +18,9 @@
         lease_margin_s: Added before a lease counts as surely ended.
         flush_s: Least time between two writes of one ledger.
         retention_s: How long outcomes are kept.
+        answer_s: How long whole answers are kept that no ledger holds.
+        proof_s: After its deadline, how long a caller is kept waiting for
+            proof of what became of its work.
         skew_s: Largest difference between hosts' clocks.
         buckets: Number of ledgers.
         ledger_bytes: Body bytes that one ledger takes before it refuses work.
@@ -38,6 +41,8 @@
     lease_margin_s: float = 2.0
     flush_s: float = 0.03
     retention_s: float = 600.0
+    answer_s: float = 60.0
+    proof_s: float = 10.0
     skew_s: float = 1.0
     buckets: int = 16
     ledger_bytes: int = 700_000
--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -63,6 +63,10 @@
             and worker ids count as names.
         replies: Replies to callers, by daemon and handle.
         records: All decisions.
+        late_writes: This many store writes take effect only after `late_s`;
+            their answers are lost.
+        late_messages: This many peer messages are late by `late_s`.
+        late_s: How late, in seconds.
     """
 
     def __init__(
@@ -84,6 +88,9 @@
         self.cuts: set[tuple[str, str]] = set()
         self.replies: dict[tuple[str, int], effects.Reply] = {}
         self.records: list[account.Record] = []
+        self.late_writes = 0
+        self.late_messages = 0
+        self.late_s = 0.0
         self.agenda: list[tuple[float, int, str, Any]] = []
         self.waiting: dict[str, list[events.Event]] = {}
         self.seen: dict[str, int] = {}
@@ -243,7 +250,11 @@
             return
         message = pickle.loads(pickle.dumps(effect.message))
         event = events.PeerMessage(self.now, name, message)
-        self.post(effect.daemon, event, DELAY_S)
+        delay_s = DELAY_S
+        if self.late_messages > 0 and name != effect.daemon:
+            self.late_messages -= 1
+            delay_s = self.late_s
+        self.post(effect.daemon, event, delay_s)
 
     def _store(self, name: str, effect: Any) -> None:
         lease = self.daemons[name].lease_id
@@ -251,7 +262,7 @@
         down = self.store.down
         self.store.down = down or cut
         if isinstance(effect, effects.StoreWrite):
-            answer = self.store.write(effect, lease, self.now)
+            answer = self._write(effect, lease)
         elif isinstance(effect, effects.StoreRead):
             answer = self.store.read(effect, self.now)
         else:
@@ -260,6 +271,20 @@
         late = getattr(answer, "result", "") == "unknown"
         self.post(name, answer, RETRY_S if late else DELAY_S)
 
+    def _write(
+        self, effect: effects.StoreWrite, lease: str
+    ) -> events.StoreAnswered:
+        if self.late_writes == 0 or self.store.down:
+            return self.store.write(effect, lease, self.now)
+        self.late_writes -= 1
+        late = copy.deepcopy(effect)
+        self._at(
+            self.now + self.late_s,
+            "",
+            lambda: self.store.write(late, lease, self.now),
+        )
+        return events.StoreAnswered(self.now, effect.op_id, "unknown")
+
     def _worker(self, name: str, effect: Any) -> None:
         worker = self.workers[effect.worker_id]
         if isinstance(effect, effects.DropWorker):
@@ -421,6 +446,19 @@
         self.post(name, event)
         return work.work_id, self.handle
 
+    def cancel(self, name: str, team: str, work_id: str) -> int:
+        """Cancels work through a daemon; returns the reply's handle."""
+        self.handle += 1
+        event = events.WorkQueried(
+            self.now, self.handle, f"k-{team}.secret", work_id, cancel=True
+        )
+        self.post(name, event)
+        return self.handle
+
+    def drain(self, name: str) -> None:
+        """Asks a daemon to shut down."""
+        self.post(name, events.DrainAsked(self.now))
+
     def ready(self) -> bool:
         """Tells whether every partition has one owner that knows all."""
         owned = [
