--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -57,6 +57,7 @@
         return
     bucket.dirty = True
     bucket.unsent.append((work.entry.work.work_id, index))
+    work.tasks[index].unrecorded = True
 
 
 def send_task(
@@ -72,7 +73,7 @@
     task = work.tasks[index]
     view = st.views.get(assignment.shard)
     set_timer(st, st.now + st.tuning.resend_s, work, index)
-    if view is None or view.epoch < assignment.epoch:
+    if view is None or view.epoch < assignment.epoch or task.unrecorded:
         return
     if view.epoch > assignment.epoch:
         assignment.epoch = view.epoch
@@ -98,6 +99,7 @@
 ) -> None:
     """Sends an attempt that the ledger now names, unless it was cancelled."""
     task = work.tasks[index]
+    task.unrecorded = False
     if work.entry.cancelled and not task.sent:
         outcomes.give_up(st, work, index, outcomes.CANCELLED, out)
     elif task.phase != works.Phase.PENDING:
@@ -144,7 +146,9 @@
 def _work_timer(st: state.State, work: state.HomeWork, out: list) -> None:
     entry = work.entry
     if entry.outcome is None:
-        if all(task.phase == works.Phase.PENDING for task in work.tasks):
+        ran = any(item.ran is not None for item in entry.assignments)
+        waits = all(task.phase == works.Phase.PENDING for task in work.tasks)
+        if waits and not ran:
             outcome = works.Outcome(
                 codes.Code.DEADLINE_PASSED,
                 "No shard took it before its deadline.",
@@ -179,16 +183,37 @@
             send_task(st, work, index, out)
     elif task.phase == works.Phase.RUNNING:
         _follow_owner(st, work, index, out)
-    if work.entry.cancelled and task.phase not in works.FINAL_PHASES:
+    if work.entry.cancelled and index in work.unsettled:
         send_cancel(st, work, index, out)
+        if task.phase == works.Phase.RUNNING:
+            set_timer(st, st.now + st.tuning.resend_s, work, index)
 
 
 def _follow_owner(
     st: state.State, work: state.HomeWork, index: int, out: list
 ) -> None:
-    """Asks a shard's new owner for a task that runs."""
+    """Asks a shard's new owner for a task that runs, until it answers."""
+    task = work.tasks[index]
     view = st.views.get(work.entry.assignments[index].shard)
     if view is not None and view.epoch > work.entry.assignments[index].epoch:
+        task.phase = works.Phase.PLACING
         send_task(st, work, index, out)
-    else:
-        set_timer(st, st.now + st.tuning.resend_s, work, index)
+
+
+@dispatch.every_tick
+def _follow_owners(st: state.State, out: list) -> None:
+    """Has running tasks looked at once their shard has a new owner."""
+    changed = {
+        name
+        for name, view in st.views.items()
+        if st.followed.get(name) != view.epoch
+    }
+    if not changed:
+        return
+    for name in changed:
+        st.followed[name] = st.views[name].epoch
+    for work in st.works.values():
+        for index, task in enumerate(work.tasks):
+            shard = work.entry.assignments[index].shard
+            if task.phase == works.Phase.RUNNING and shard in changed:
+                set_timer(st, st.now, work, index)
--- a/packages/core/mimosaridge_core/ingress.py
+++ b/packages/core/mimosaridge_core/ingress.py
@@ -1,11 +1,14 @@
 """Callers' work: checked here, forwarded to its home, answered from there."""
 
+import heapq
+
 from mimosaridge_core import account
 from mimosaridge_core import buckets
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import freshness
 from mimosaridge_core import homes
 from mimosaridge_core import keys
 from mimosaridge_core import messages
@@ -20,9 +23,10 @@
     st: state.State, event: events.WorkSubmitted
 ) -> works.Outcome | None:
     """Returns a refusal, or None if the work may be taken."""
-    local = buckets.home_of(st, event.work) == st.name
-    if st.draining and local:
+    if st.draining:
         return works.Outcome(codes.Code.DRAINING)
+    if not freshness.is_current(st):
+        return works.Outcome(codes.Code.STALE_CONFIG)
     refusal = _check_key(st, event)
     if refusal is not None:
         return refusal
@@ -96,11 +100,13 @@
         out.append(effects.Reply(event.handle, codes.Code.ID_TAKEN, detail))
         return
     waiter.handles[event.handle] = event.wait
+    st.handles[event.handle] = work.work_id
     _forward(st, waiter, out)
 
 
 def _forward(st: state.State, waiter: state.Waiter, out: list) -> None:
     waiter.resend_at = st.now + st.tuning.resend_s
+    heapq.heappush(st.resends, (waiter.resend_at, waiter.work.work_id))
     if waiter.home == st.name:
         homes.accept(st, waiter.work, st.name, out)
         return
@@ -121,6 +127,7 @@
     for handle, waits in list(waiter.handles.items()):
         if not waits:
             del waiter.handles[handle]
+            st.handles.pop(handle, None)
             out.append(effects.Reply(handle, codes.Code.ACCEPTED))
     if not waiter.handles:
         del st.waiters[message.work_id]
@@ -135,22 +142,27 @@
         return
     outcome = message.outcome
     for handle in waiter.handles:
+        st.handles.pop(handle, None)
         out.append(effects.Reply(handle, outcome.code, outcome.detail, outcome))
 
 
 @dispatch.handles(events.CallerGone)
 def _gone(st: state.State, event: events.CallerGone, out: list) -> None:
-    for work_id, waiter in list(st.waiters.items()):
-        if waiter.handles.pop(event.handle, None) is None:
-            continue
-        if not waiter.handles:
-            del st.waiters[work_id]
+    work_id = st.handles.pop(event.handle, "")
+    waiter = st.waiters.get(work_id)
+    if waiter is None:
+        return
+    waiter.handles.pop(event.handle, None)
+    if not waiter.handles:
+        del st.waiters[work_id]
 
 
 @dispatch.every_tick
 def _resend(st: state.State, out: list) -> None:
-    for waiter in list(st.waiters.values()):
-        if waiter.resend_at > st.now:
+    while st.resends and st.resends[0][0] <= st.now:
+        _, work_id = heapq.heappop(st.resends)
+        waiter = st.waiters.get(work_id)
+        if waiter is None or waiter.resend_at > st.now:
             continue
         patience = waiter.work.start_before + st.tuning.proof_s
         if patience <= st.now and not waiter.accepted:
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -156,7 +156,7 @@
         _retry(st, work, index, message, out)
         return
     outcome = message.outcome
-    finish_task(work, index, message.phase, _kept(outcome))
+    outcome = finish_task(work, index, message.phase, outcome)
     if not work.unsettled:
         settle(st, work, whole_outcome(work, outcome), out)
 
@@ -176,11 +176,21 @@
     index: int,
     phase: works.Phase,
     outcome: works.Outcome,
-) -> None:
-    """Notes the end of a task."""
-    work.tasks[index].phase = phase
-    work.entry.assignments[index].outcome = outcome
+) -> works.Outcome:
+    """Notes the end of a task and returns the outcome that counts.
+
+    A task whose earlier attempt may have run is not told to be not run.
+    """
+    assignment = work.entry.assignments[index]
+    if phase == works.Phase.NOT_RUN:
+        if assignment.ran is not None:
+            outcome = assignment.ran
+        elif not codes.is_not_run(outcome.code):
+            outcome = works.Outcome(codes.Code.NOT_RUN, outcome.detail)
+    work.tasks[index].phase = final_phase(outcome.code)
+    assignment.outcome = _kept(outcome)
     work.unsettled.discard(index)
+    return outcome
 
 
 def _tries_again(
@@ -211,7 +221,12 @@
     out: list,
 ) -> None:
     task = work.tasks[index]
+    if message.phase != works.Phase.NOT_RUN:
+        work.entry.assignments[index].ran = message.outcome
     task.phase = works.Phase.PENDING
+    if _was_moved(work, message):
+        dispatching.assign(st, work, index, out)
+        return
     task.failures += 1
     ceiling = min(
         LONGEST_RETRY_S, dispatching.FIRST_RETRY_S * 2 ** min(task.failures, 8)
@@ -235,6 +250,12 @@
         _break_gang(st, work, index, out)
 
 
+def _was_moved(work: state.HomeWork, message: messages.TaskUpdate) -> bool:
+    """Tells whether a shard gave a task back because another has room."""
+    moved = message.outcome.code == codes.Code.NO_ROOM
+    return moved and work.entry.work.kind != works.Kind.GANG
+
+
 def _break_gang(
     st: state.State, work: state.HomeWork, failed: int, out: list
 ) -> None:
@@ -245,6 +266,17 @@
             dispatching.send_cancel(st, work, index, out)
 
 
+def final_phase(code: codes.Code) -> works.Phase:
+    """Returns the phase of a task that was settled with a result code."""
+    if code in (codes.Code.OK, codes.Code.ANSWER_NOT_KEPT):
+        return works.Phase.DONE
+    if code == codes.Code.UNKNOWN:
+        return works.Phase.UNKNOWN
+    if codes.is_not_run(code):
+        return works.Phase.NOT_RUN
+    return works.Phase.FAILED
+
+
 def whole_outcome(work: state.HomeWork, last: works.Outcome) -> works.Outcome:
     """Returns the outcome of work from those of its tasks."""
     if len(work.tasks) == 1:
@@ -266,8 +298,8 @@
     outcome: works.Outcome,
     out: list,
 ) -> None:
-    """Settles a task that no owner was ever asked to start."""
-    finish_task(work, index, works.Phase.NOT_RUN, outcome)
+    """Settles a task that no owner was asked to start since it last ended."""
+    outcome = finish_task(work, index, works.Phase.NOT_RUN, outcome)
     if not work.unsettled:
         settle(st, work, whole_outcome(work, outcome), out)
 
@@ -337,6 +369,7 @@
             finish_task(work, index, works.Phase.NOT_RUN, CANCELLED)
         else:
             dispatching.send_cancel(st, work, index, out)
+            dispatching.set_timer(st, st.now + st.tuning.resend_s, work, index)
     if not work.unsettled and work.entry.outcome is None:
         settle(st, work, whole_outcome(work, CANCELLED), out)
 
--- a/packages/core/mimosaridge_core/routing.py
+++ b/packages/core/mimosaridge_core/routing.py
@@ -11,10 +11,12 @@
 CHOICES = 2
 
 
-def known_summaries(st: state.State) -> Iterator[messages.ShardSummary]:
+def known_summaries(
+    st: state.State, with_teams: bool = True
+) -> Iterator[messages.ShardSummary]:
     """Yields this daemon's shards and the live peers' as last described."""
     for shard in st.shards.values():
-        yield summaries.summarize(st, shard)
+        yield summaries.summarize(st, shard, with_teams)
     for member in st.members.values():
         if member.heard_until > st.now:
             yield from member.summaries.values()
@@ -49,15 +51,16 @@
 ) -> str:
     """Returns a shard for a task, or an empty name if none takes it now.
 
-    Of the shards with room, two are drawn and the one with the shorter queue
-    and more free slots is taken. Without room anywhere, the shortest queue of
-    a shard with large enough workers is taken.
+    What was sent since the last heartbeat counts as taken, since summaries
+    do not show it yet. Of the shards with room, two are drawn and the one
+    with the shorter queue and more free slots is taken. Without room
+    anywhere, the shortest queue of a shard with large enough workers is taken.
 
     Source: the power of two choices (Mitzenmacher, 2001).
     """
     roomy: list[tuple[int, int, str]] = []
     capable: list[tuple[int, int, str]] = []
-    for summary in known_summaries(st):
+    for summary in known_summaries(st, with_teams=False):
         if not summary.ready or summary.zone in st.config.zones_out:
             continue
         for room in _rooms(summary, endpoint):
@@ -65,14 +68,27 @@
                 continue
             entry = (summary.queued, -room.free.slots, summary.shard)
             capable.append(entry)
-            if needs.fits(room.widest_free) and summary.shard not in avoid:
+            if summary.shard not in avoid and _has_room(st, room, entry, needs):
                 roomy.append(entry)
     if roomy:
         drawn = st.rng.sample(roomy, min(CHOICES, len(roomy)))
-        return min(drawn)[2]
+        chosen = min(drawn)[2]
+        sent = st.sent_room.get(chosen, resources.ZERO)
+        st.sent_room[chosen] = sent + needs
+        return chosen
     return min(capable)[2] if capable else ""
 
 
+def _has_room(
+    st: state.State,
+    room: messages.Room,
+    entry: tuple[int, int, str],
+    needs: resources.Resources,
+) -> bool:
+    sent = st.sent_room.get(entry[2], resources.ZERO)
+    return needs.fits(room.widest_free) and (sent + needs).fits(room.free)
+
+
 def task_of(
     work: works.Work, index: int, attempt: int, home: str
 ) -> works.Task:
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -33,6 +33,8 @@
         config_number: Configuration in force there.
         epochs: Partitions that it holds, with their epochs.
         summaries: Its shards, by name.
+        sent_at: When its latest heartbeat was sent, seconds since the epoch.
+        gone: Whether its host says that the process is gone.
     """
 
     name: str
@@ -46,6 +48,8 @@
     summaries: dict[str, messages.ShardSummary] = dataclasses.field(
         default_factory=dict
     )
+    sent_at: float = 0.0
+    gone: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,6 +105,19 @@
     lease_ends: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Capacity:
+    """What all workers of one endpoint in a shard have.
+
+    Attributes:
+        total: Sum over the workers.
+        widest: Largest capacity of each resource on one worker.
+    """
+
+    total: resources.Resources = resources.ZERO
+    widest: resources.Resources = resources.ZERO
+
+
 @dataclasses.dataclass(slots=True)
 class Shard:
     """A shard that this daemon owns.
@@ -112,7 +129,11 @@
         workers: Its workers by id.
         index: Workers that take work, found by what they have free.
         queue: Tasks that wait.
+        unheard: Workers that are not claimed under the present epoch.
+        capacities: For each endpoint, what all of its workers have.
+        rooms: For each endpoint, what is left; None when it has changed.
         places: Worker of each placed task.
+        holds: Heap of the deadlines of holds; may name tasks that left.
         ended: Settled updates that their homes have not yet taken.
         taken: Attempts whose ends their homes have kept.
         team_use: What each team has placed.
@@ -125,7 +146,11 @@
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     index: placement.Index = dataclasses.field(default_factory=placement.Index)
     queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
+    unheard: set[str] = dataclasses.field(default_factory=set)
+    capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
+    rooms: list[messages.Room] | None = None
     places: dict[TaskKey, str] = dataclasses.field(default_factory=dict)
+    holds: list[tuple[float, TaskKey]] = dataclasses.field(default_factory=list)
     ended: dict[TaskKey, "Ended"] = dataclasses.field(default_factory=dict)
     taken: takens.Takens = dataclasses.field(default_factory=takens.Takens)
     team_use: dict[str, resources.Resources] = dataclasses.field(
@@ -163,12 +188,14 @@
         phase: Where it stands.
         worker: Worker that it runs on, if any.
         sent: Whether its attempt may have been sent to a shard.
+        unrecorded: Whether the ledger doesn't yet name where it is to go.
         failures: Attempts that failed.
     """
 
     phase: works.Phase = works.Phase.PENDING
     worker: str = ""
     sent: bool = False
+    unrecorded: bool = False
     failures: int = 0
 
 
@@ -270,16 +297,16 @@
 
     Attributes:
         handle: The open call.
-        work_id: The work asked about.
+        question: The question.
         missing: Peers that have not answered.
-        records: What was answered so far.
+        pages: What was answered so far.
         until: Deadline, seconds since the epoch.
     """
 
     handle: int
-    work_id: str
+    question: messages.Question
     missing: set[str]
-    records: list[account.Record]
+    pages: list[Any]
     until: float
 
 
@@ -296,6 +323,9 @@
         bootstrap_key: Operator's token that counts while no operator's key
             was ever granted; empty for none.
         now: Time of the latest event, seconds since the epoch.
+        handles: Work of each open call.
+        resends: Heap of the times when waiters are looked at again.
+        followed: Epoch of each shard for which running tasks were asked.
     """
 
     name: str
@@ -312,6 +342,8 @@
     )
     config_revision: int = 0
     store_heard_at: float = 0.0
+    word_at: float = 0.0
+    daemons_listed: bool = False
     lease_id: str = ""
     renew_at: float = 0.0
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
@@ -327,10 +359,17 @@
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
+    sent_room: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    rebalance_at: float = 0.0
     timers: list[tuple[float, int, str, int]] = dataclasses.field(
         default_factory=list
     )
     waiters: dict[str, Waiter] = dataclasses.field(default_factory=dict)
+    handles: dict[int, str] = dataclasses.field(default_factory=dict)
+    resends: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    followed: dict[str, int] = dataclasses.field(default_factory=dict)
     queries: dict[int, Query] = dataclasses.field(default_factory=dict)
     operations: dict[int, Any] = dataclasses.field(default_factory=dict)
     counter: int = 0
