Restart service replicas only after their earlier attempt is over

Cause: a resize forgot the removed replicas at once. A stop that was lost was never sent again, an update of a forgotten replica raised IndexError in the reducer, and a replica that was wanted again reused its attempt's number while the old one ran.

--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -100,7 +100,7 @@
     """Sends an attempt that the ledger now names, unless it was cancelled."""
     task = work.tasks[index]
     task.unrecorded = False
-    if work.entry.cancelled and not task.sent:
+    if outcomes.is_unwanted(work, index) and not task.sent:
         outcomes.give_up(st, work, index, outcomes.CANCELLED, out)
     elif task.phase != works.Phase.PENDING:
         send_task(st, work, index, out)
@@ -148,7 +148,7 @@
     if entry.outcome is None:
         ran = any(item.ran is not None for item in entry.assignments)
         waits = all(task.phase == works.Phase.PENDING for task in work.tasks)
-        if waits and not ran:
+        if waits and not ran and entry.work.kind != works.Kind.SERVICE:
             outcome = works.Outcome(
                 codes.Code.DEADLINE_PASSED,
                 "No shard took it before its deadline.",
@@ -172,8 +172,8 @@
 ) -> None:
     task = work.tasks[index]
     if task.phase == works.Phase.PENDING:
-        if work.entry.cancelled:
-            outcomes.cancel(st, work, out)
+        if outcomes.is_unwanted(work, index):
+            outcomes.give_up(st, work, index, outcomes.CANCELLED, out)
         elif work.entry.work.start_before <= st.now:
             outcomes.give_up(st, work, index, outcomes.TOO_LATE, out)
         else:
@@ -183,7 +183,7 @@
             send_task(st, work, index, out)
     elif task.phase == works.Phase.RUNNING:
         _follow_owner(st, work, index, out)
-    if work.entry.cancelled and index in work.unsettled:
+    if outcomes.is_unwanted(work, index) and index in work.unsettled:
         send_cancel(st, work, index, out)
         if task.phase == works.Phase.RUNNING:
             set_timer(st, st.now + st.tuning.resend_s, work, index)
--- a/packages/core/mimosaridge_core/homes.py
+++ b/packages/core/mimosaridge_core/homes.py
@@ -60,9 +60,8 @@
     origin: str,
     out: list,
 ) -> None:
-    entry = documents.Entry(
-        work, [documents.Assignment() for _ in range(work.count)]
-    )
+    assignments = [first_assignment(st, work) for _ in range(work.count)]
+    entry = documents.Entry(work, assignments)
     tasks = [state.TaskState() for _ in range(work.count)]
     home_work = state.HomeWork(entry, home, tasks, {origin})
     st.works[work.work_id] = home_work
@@ -72,6 +71,16 @@
     dispatching.set_timer(st, work.start_before, home_work, -1)
 
 
+def first_assignment(st: state.State, work: works.Work) -> documents.Assignment:
+    """Returns the assignment of a task that was never sent.
+
+    A service may return under the name of one that was forgotten, whose
+    attempts had numbers of their own; the clock keeps the new ones higher.
+    """
+    attempt = int(st.now) if work.kind == works.Kind.SERVICE else 0
+    return documents.Assignment(attempt)
+
+
 def _record_refusal(
     st: state.State,
     work: works.Work,
@@ -114,6 +123,8 @@
 def _refusal(
     st: state.State, work: works.Work, bucket: state.Bucket | None
 ) -> works.Outcome | None:
+    if work.kind == works.Kind.SERVICE:
+        return None
     if work.start_before <= st.now:
         return works.Outcome(
             codes.Code.DEADLINE_PASSED, "Its deadline has passed."
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -157,8 +157,7 @@
         return
     outcome = message.outcome
     outcome = finish_task(work, index, message.phase, outcome)
-    if not work.unsettled:
-        settle(st, work, whole_outcome(work, outcome), out)
+    _settle_if_over(st, work, outcome, out)
 
 
 def _kept(outcome: works.Outcome) -> works.Outcome:
@@ -199,7 +198,7 @@
     index: int,
     message: messages.TaskUpdate,
 ) -> bool:
-    if work.entry.cancelled:
+    if is_unwanted(work, index):
         return False
     spec = work.entry.work
     if spec.kind == works.Kind.SERVICE:
@@ -300,8 +299,17 @@
 ) -> None:
     """Settles a task that no owner was asked to start since it last ended."""
     outcome = finish_task(work, index, works.Phase.NOT_RUN, outcome)
-    if not work.unsettled:
-        settle(st, work, whole_outcome(work, outcome), out)
+    _settle_if_over(st, work, outcome, out)
+
+
+def _settle_if_over(
+    st: state.State, work: state.HomeWork, last: works.Outcome, out: list
+) -> None:
+    stands = work.entry.work.kind == works.Kind.SERVICE
+    if work.unsettled or stands and not work.entry.cancelled:
+        return
+    if work.entry.outcome is None:
+        settle(st, work, whole_outcome(work, last), out)
 
 
 def settle(
@@ -365,13 +373,24 @@
     if bucket is not None:
         bucket.dirty = True
     for index in sorted(work.unsettled):
-        if work.tasks[index].phase == works.Phase.PENDING:
-            finish_task(work, index, works.Phase.NOT_RUN, CANCELLED)
-        else:
-            dispatching.send_cancel(st, work, index, out)
-            dispatching.set_timer(st, st.now + st.tuning.resend_s, work, index)
-    if not work.unsettled and work.entry.outcome is None:
-        settle(st, work, whole_outcome(work, CANCELLED), out)
+        cancel_task(st, work, index, out)
+    _settle_if_over(st, work, CANCELLED, out)
+
+
+def is_unwanted(work: state.HomeWork, index: int) -> bool:
+    """Tells whether a task is to come to its end without another attempt."""
+    return work.entry.cancelled or index >= work.entry.work.count
+
+
+def cancel_task(
+    st: state.State, work: state.HomeWork, index: int, out: list
+) -> None:
+    """Ends a task that was not sent; has any other stopped."""
+    if work.tasks[index].phase == works.Phase.PENDING:
+        finish_task(work, index, works.Phase.NOT_RUN, CANCELLED)
+    else:
+        dispatching.send_cancel(st, work, index, out)
+        dispatching.set_timer(st, st.now + st.tuning.resend_s, work, index)
 
 
 @dispatch.receives(messages.CancelWork)
--- a/packages/core/mimosaridge_core/services.py
+++ b/packages/core/mimosaridge_core/services.py
@@ -3,7 +3,6 @@
 from mimosaridge_core import buckets
 from mimosaridge_core import dispatch
 from mimosaridge_core import dispatching
-from mimosaridge_core import documents
 from mimosaridge_core import homes
 from mimosaridge_core import outcomes
 from mimosaridge_core import state
@@ -43,22 +42,39 @@
 def _resize(
     st: state.State, work: state.HomeWork, spec: works.Work, out: list
 ) -> None:
-    if work.entry.cancelled:
+    """Brings a service to the wanted replicas.
+
+    A replica that is no longer wanted is asked to stop until its end is
+    known, and keeps its attempt's number: if it is wanted again, it starts
+    under a higher one, and only once the earlier one is over.
+    """
+    entry = work.entry
+    spec.submitted_at = entry.work.submitted_at
+    if entry.work == spec and not entry.cancelled:
         return
-    work.entry.work = spec
-    bucket = st.buckets[work.home]
-    bucket.dirty = True
+    entry.work = spec
+    entry.cancelled = False
+    entry.outcome = None
+    work.outcome_recorded = False
+    st.buckets[work.home].dirty = True
     while len(work.tasks) < spec.count:
-        work.unsettled.add(len(work.tasks))
         work.tasks.append(state.TaskState())
-        work.entry.assignments.append(documents.Assignment())
-        dispatching.assign(st, work, len(work.tasks) - 1, out)
-    while len(work.tasks) > spec.count:
-        index = len(work.tasks) - 1
-        dispatching.send_cancel(st, work, index, out)
-        work.tasks.pop()
-        work.unsettled.discard(index)
-        work.entry.assignments.pop()
+        entry.assignments.append(homes.first_assignment(st, spec))
+    for index in range(len(work.tasks)):
+        if index < spec.count:
+            _want(st, work, index)
+        elif index in work.unsettled:
+            outcomes.cancel_task(st, work, index, out)
+
+
+def _want(st: state.State, work: state.HomeWork, index: int) -> None:
+    if index in work.unsettled:
+        return
+    work.unsettled.add(index)
+    work.entry.assignments[index].outcome = None
+    work.entry.assignments[index].ran = None
+    work.tasks[index] = state.TaskState()
+    dispatching.set_timer(st, st.now, work, index)
 
 
 def _cancel_removed(st: state.State, out: list) -> None:
