--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -46,12 +46,14 @@
         shard: The shard that it was sent to; empty if none holds it.
         outcome: What became of it, once settled.
         ran: What became of the latest attempt that may have run.
+        epoch: Epoch of the shard's owner that it was sent to.
     """
 
     attempt: int = 0
     shard: str = ""
     outcome: works.Outcome | None = None
     ran: works.Outcome | None = None
+    epoch: int = 0
 
 
 @dataclasses.dataclass(slots=True)
