--- a/packages/core/mimosaridge_core/ingress.py
+++ b/packages/core/mimosaridge_core/ingress.py
@@ -1,6 +1,6 @@
 """Callers' work: checked here, forwarded to its home, answered from there."""
 
-import uuid
+import heapq
 
 from mimosaridge_core import account
 from mimosaridge_core import buckets
@@ -8,10 +8,12 @@
 from mimosaridge_core import dispatch
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import freshness
 from mimosaridge_core import homes
 from mimosaridge_core import keys
 from mimosaridge_core import messages
 from mimosaridge_core import state
+from mimosaridge_core import workids
 from mimosaridge_core import works
 
 MOST_TASKS = 10_000
@@ -23,14 +25,14 @@
     """Returns a refusal, or None if the work may be taken."""
     if st.draining:
         return works.Outcome(codes.Code.DRAINING)
+    if not freshness.is_current(st):
+        return works.Outcome(codes.Code.STALE_CONFIG)
     refusal = _check_key(st, event)
     if refusal is not None:
         return refusal
     if event.work.team not in st.config.teams:
         detail = f"There is no team {event.work.team!r}."
         return works.Outcome(codes.Code.WRONG_TEAM, detail)
-    if event.work.start_before <= st.now:
-        return works.Outcome(codes.Code.DEADLINE_PASSED)
     return _check_id(st, event.work)
 
 
@@ -54,7 +56,7 @@
 
 
 def _check_id(st: state.State, work: works.Work) -> works.Outcome | None:
-    made_at = (uuid.UUID(work.work_id).int >> 80) / 1000
+    made_at = workids.made_at(work.work_id)
     if made_at < st.now - st.tuning.retention_s:
         return works.Outcome(codes.Code.ID_EXPIRED)
     if made_at > st.now + st.tuning.skew_s:
@@ -93,12 +95,18 @@
         home = buckets.home_of(st, work)
         waiter = state.Waiter(work, home, {}, 0.0)
         st.waiters[work.work_id] = waiter
+    if waiter.work.team != work.team:
+        detail = codes.MEANINGS[codes.Code.ID_TAKEN]
+        out.append(effects.Reply(event.handle, codes.Code.ID_TAKEN, detail))
+        return
     waiter.handles[event.handle] = event.wait
+    st.handles[event.handle] = work.work_id
     _forward(st, waiter, out)
 
 
 def _forward(st: state.State, waiter: state.Waiter, out: list) -> None:
     waiter.resend_at = st.now + st.tuning.resend_s
+    heapq.heappush(st.resends, (waiter.resend_at, waiter.work.work_id))
     if waiter.home == st.name:
         homes.accept(st, waiter.work, st.name, out)
         return
@@ -119,6 +127,7 @@
     for handle, waits in list(waiter.handles.items()):
         if not waits:
             del waiter.handles[handle]
+            st.handles.pop(handle, None)
             out.append(effects.Reply(handle, codes.Code.ACCEPTED))
     if not waiter.handles:
         del st.waiters[message.work_id]
@@ -133,33 +142,54 @@
         return
     outcome = message.outcome
     for handle in waiter.handles:
+        st.handles.pop(handle, None)
         out.append(effects.Reply(handle, outcome.code, outcome.detail, outcome))
 
 
 @dispatch.handles(events.CallerGone)
 def _gone(st: state.State, event: events.CallerGone, out: list) -> None:
-    for work_id, waiter in list(st.waiters.items()):
-        if waiter.handles.pop(event.handle, None) is None:
-            continue
-        if not waiter.handles:
-            del st.waiters[work_id]
+    work_id = st.handles.pop(event.handle, "")
+    waiter = st.waiters.get(work_id)
+    if waiter is None:
+        return
+    waiter.handles.pop(event.handle, None)
+    if not waiter.handles:
+        del st.waiters[work_id]
 
 
 @dispatch.every_tick
 def _resend(st: state.State, out: list) -> None:
-    for waiter in list(st.waiters.values()):
-        if waiter.resend_at > st.now:
+    while st.resends and st.resends[0][0] <= st.now:
+        _, work_id = heapq.heappop(st.resends)
+        waiter = st.waiters.get(work_id)
+        if waiter is None or waiter.resend_at > st.now:
             continue
-        work = waiter.work
-        if work.start_before <= st.now and not waiter.accepted:
-            _ask_or_give_up(st, waiter, out)
+        patience = waiter.work.start_before + st.tuning.proof_s
+        if patience <= st.now and not waiter.accepted:
+            _give_up(st, waiter, out)
         else:
             _forward(st, waiter, out)
 
 
-def _ask_or_give_up(st: state.State, waiter: state.Waiter, out: list) -> None:
-    """Keeps asking the home past the deadline: it may have started the work."""
-    _forward(st, waiter, out)
+def _give_up(st: state.State, waiter: state.Waiter, out: list) -> None:
+    """Ends the wait for a home that doesn't prove what became of work."""
+    work_id = waiter.work.work_id
+    del st.waiters[work_id]
+    outcome = works.Outcome(
+        codes.Code.UNKNOWN,
+        "Its home could not record or prove what became of it; ask again"
+        " under the same id, which never runs it twice.",
+    )
+    state.note(
+        st,
+        out,
+        account.Rule.SETTLED,
+        outcome.detail,
+        work_id,
+        code=outcome.code,
+    )
+    for handle in waiter.handles:
+        out.append(effects.Reply(handle, outcome.code, outcome.detail, outcome))
 
 
 @dispatch.handles(events.WorkQueried)
--- a/packages/core/mimosaridge_core/membership.py
+++ b/packages/core/mimosaridge_core/membership.py
@@ -6,6 +6,7 @@
 from mimosaridge_core import documents
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import freshness
 from mimosaridge_core import messages
 from mimosaridge_core import partitions
 from mimosaridge_core import resources
@@ -38,17 +39,22 @@
     return member
 
 
+@dispatch.handles(events.StoreHeard)
+def _store_heard(st: state.State, event: events.StoreHeard, out: list) -> None:
+    st.store_heard_at = st.now
+    if event.prefix == documents.CONFIG_KEY:
+        freshness.hear(st, event.asked_at)
+
+
 @dispatch.handles(events.StoreListed)
 def _listed(st: state.State, event: events.StoreListed, out: list) -> None:
     if event.prefix == documents.DAEMONS:
+        st.daemons_listed = True
         for member in st.members.values():
             member.listed = False
     if event.prefix == documents.PARTITIONS:
         st.listed = True
-        for name in st.views.keys() - {
-            key.removeprefix(documents.PARTITIONS) for key in event.values
-        }:
-            st.freed[name] = event.revision
+        st.listed_revision = event.revision
         st.views = {
             name: view
             for name, view in st.views.items()
@@ -59,6 +65,8 @@
             event.now, key, value, event.revisions[key]
         )
         _changed(st, changed, out)
+    if event.prefix == documents.CONFIG_KEY:
+        freshness.hear(st, event.asked_at)
 
 
 @dispatch.handles(events.StoreChanged)
@@ -129,7 +137,10 @@
     if sender == st.name:
         return
     member = _member(st, sender, message.url, message.zone)
-    _heard(st, member, message)
+    member.sent_at = message.sent_at
+    member.gone = False
+    sent_at = min(st.now, message.sent_at + st.tuning.skew_s)
+    member.heard_until = sent_at + st.tuning.member_timeout_s
     member.draining = message.draining
     member.config_number = message.config_number
     member.epochs = message.epochs
@@ -139,18 +150,16 @@
         shards.hear_unlisted(st, summary)
     if message.config_number > st.config.number:
         out.append(effects.SendPeer(sender, messages.AskConfig()))
+    else:
+        freshness.hear(st, message.word_at)
 
 
-def _heard(
-    st: state.State, member: state.Member, message: messages.Heartbeat
-) -> None:
-    """Counts a heartbeat from when it was sent: it may have waited long."""
-    sent_at = min(st.now, message.sent_at + st.tuning.skew_s)
-    until = sent_at + st.tuning.member_timeout_s
-    member.heard_until = max(member.heard_until, until)
-    member.gone = member.gone and until <= st.now
-    if message.config_number == st.config.number:
-        st.confirmed_at = max(st.confirmed_at, message.confirmed_at)
+@dispatch.handles(events.PeerRefused)
+def _refused(st: state.State, event: events.PeerRefused, out: list) -> None:
+    member = st.members.get(event.name)
+    if member is not None:
+        member.gone = True
+        member.heard_until = 0.0
 
 
 @dispatch.receives(messages.AskConfig)
@@ -173,6 +182,7 @@
     if st.now < st.heartbeat_at:
         return
     st.heartbeat_at = st.now + st.tuning.heartbeat_s
+    st.sent_room.clear()
     _forget_gone(st)
     heartbeat = messages.Heartbeat(
         st.url,
@@ -183,7 +193,7 @@
         | {name: bucket.epoch for name, bucket in st.buckets.items()},
         [summaries.summarize(st, shard) for shard in st.shards.values()],
         st.now,
-        st.confirmed_at,
+        st.word_at,
     )
     for member in st.members.values():
         out.append(effects.SendPeer(member.name, heartbeat))
--- a/packages/core/mimosaridge_core/partitions.py
+++ b/packages/core/mimosaridge_core/partitions.py
@@ -295,13 +295,18 @@
         _claim(st, partition, 0, out)
 
 
+def _freed(st: state.State, partition: str) -> int:
+    """Returns the revision up to which a partition not in view is free."""
+    return max(st.freed.get(partition, 0), st.listed_revision)
+
+
 def hear_epochs(
     st: state.State, sender: str, epochs: dict[str, int], out: list
 ) -> None:
     """Takes a peer's word on what it holds, unless something newer is known."""
     for partition, epoch in epochs.items():
         known = st.views.get(partition)
-        if epoch <= st.freed.get(partition, 0):
+        if epoch <= _freed(st, partition):
             continue
         if known is None or known.epoch < epoch:
             st.views[partition] = state.View(sender, epoch)
--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -19,20 +19,16 @@
     st: state.State, sender: str, message: messages.PlaceTask, out: list
 ) -> None:
     shard = st.shards.get(message.shard)
-    if shard is None or shard.releasing:
+    if shard is None or shard.releasing or shard.epoch != message.epoch:
         return
     task = message.task
     key = (task.task_id, task.attempt)
     if _repeat(st, shard, key, out):
         return
-    unknown = [
-        worker
-        for worker in shard.workers.values()
-        if not summaries.is_known(st, worker)
-    ]
-    if message.resent and unknown:
+    if message.resent and not summaries.all_known(st, shard):
         return
-    if message.resent and not task.idempotent and _has_unheard(shard):
+    may_start = task.idempotent and task.start_before > st.now
+    if message.resent and shard.unheard and not may_start:
         outcome = works.Outcome(
             codes.Code.UNKNOWN, "A worker that may have run it is gone."
         )
@@ -41,14 +37,12 @@
     _enqueue(st, shard, sender, message, out)
 
 
-def _has_unheard(shard: state.Shard) -> bool:
-    return any(not worker.heard for worker in shard.workers.values())
-
-
 def _repeat(
     st: state.State, shard: state.Shard, key: state.TaskKey, out: list
 ) -> bool:
     """Answers a message about a task that is known already."""
+    if shard.taken.covers(*key):
+        return True
     if key in shard.ended:
         shard.ended[key].resend_at = st.now
         return True
@@ -76,7 +70,7 @@
         return
     waiting = queueing.Waiting(task, message.hold, sender, st.now)
     shard.queue.add(waiting)
-    scheduling.schedule(st, shard, out)
+    scheduling.schedule_new(st, shard, waiting, out)
     if message.hold and (task.task_id, task.attempt) in shard.queue.waiting:
         shard.queue.remove((task.task_id, task.attempt))
         outcome = works.Outcome(
@@ -165,4 +159,6 @@
         return
     ended = shard.ended.pop((message.task_id, message.attempt), None)
     if ended is not None:
+        until = ended.start_before + st.tuning.skew_s
+        shard.taken.add(message.task_id, message.attempt, until)
         settling.forget(shard, ended, out)
--- a/packages/core/mimosaridge_core/reducer.py
+++ b/packages/core/mimosaridge_core/reducer.py
@@ -4,6 +4,8 @@
 from mimosaridge_core import dispatching
 from mimosaridge_core import events
 from mimosaridge_core import expiry
+from mimosaridge_core import explanations
+from mimosaridge_core import histories
 from mimosaridge_core import homes
 from mimosaridge_core import ingress
 from mimosaridge_core import ledgers
@@ -12,22 +14,24 @@
 from mimosaridge_core import outcomes
 from mimosaridge_core import partitions
 from mimosaridge_core import placing
+from mimosaridge_core import queries
+from mimosaridge_core import rebalancing
 from mimosaridge_core import reports
 from mimosaridge_core import services
+from mimosaridge_core import standings
 from mimosaridge_core import state
 from mimosaridge_core import stopping
-from mimosaridge_core import tenure
 from mimosaridge_core import workerreports
 
 # Importing them registers their handlers; ticks are handled in this order.
 HANDLER_MODULES = (
     membership,
-    tenure,
     partitions,
     workerreports,
     placing,
     expiry,
     stopping,
+    rebalancing,
     homes,
     ledgers,
     dispatching,
@@ -35,6 +39,10 @@
     services,
     ingress,
     operators,
+    queries,
+    explanations,
+    standings,
+    histories,
     reports,
 )
 
--- a/packages/core/mimosaridge_core/shards.py
+++ b/packages/core/mimosaridge_core/shards.py
@@ -6,6 +6,7 @@
 from mimosaridge_core import events
 from mimosaridge_core import messages
 from mimosaridge_core import rooms
+from mimosaridge_core import scheduling
 from mimosaridge_core import state
 from mimosaridge_core import summaries
 from mimosaridge_core import tenure
@@ -51,6 +52,7 @@
     for worker_id, worker in list(shard.workers.items()):
         worker.listed = worker_id in members and worker_id in st.hosts
         rooms.reindex(shard, worker)
+    rooms.count_capacity(shard)
 
 
 def _members(st: state.State, shard: state.Shard) -> dict[str, events.Host]:
@@ -95,6 +97,10 @@
             _claim_all(st, shard, out)
         elif not may_own and not shard.suspended:
             _suspend(st, shard, out)
+        was_open = shard.open
+        shard.open = tenure.may_start(st, shard)
+        if shard.open and not was_open:
+            scheduling.schedule(st, shard, out)
 
 
 def _drop_unlisted(st: state.State, shard: state.Shard, out: list) -> None:
@@ -106,7 +112,9 @@
         kept = any(item.worker_id == worker_id for item in shard.ended.values())
         if known and not kept:
             shard.index.drop(worker.host.endpoint, worker_id)
+            shard.unheard.discard(worker_id)
             del shard.workers[worker_id]
+            rooms.count_capacity(shard)
             st.unlisted.pop(worker_id, None)
             out.append(effects.DropWorker(worker_id))
 
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -14,6 +14,7 @@
 from mimosaridge_core import placement
 from mimosaridge_core import queueing
 from mimosaridge_core import resources
+from mimosaridge_core import takens
 from mimosaridge_core import tunables
 from mimosaridge_core import works
 
@@ -28,11 +29,12 @@
         zone: Its availability zone.
         heard_until: Deadline after which it counts as gone.
         listed: Whether the store lists it.
-        gone: Whether its host said that its process has ended.
         draining: Whether it is shutting down.
         config_number: Configuration in force there.
         epochs: Partitions that it holds, with their epochs.
         summaries: Its shards, by name.
+        sent_at: When its latest heartbeat was sent, seconds since the epoch.
+        gone: Whether its host says that the process is gone.
     """
 
     name: str
@@ -40,13 +42,14 @@
     zone: str
     heard_until: float
     listed: bool = False
-    gone: bool = False
     draining: bool = False
     config_number: int = 0
     epochs: dict[str, int] = dataclasses.field(default_factory=dict)
     summaries: dict[str, messages.ShardSummary] = dataclasses.field(
         default_factory=dict
     )
+    sent_at: float = 0.0
+    gone: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,6 +127,19 @@
     until: float
 
 
+@dataclasses.dataclass(slots=True)
+class Capacity:
+    """What all workers of one endpoint in a shard have.
+
+    Attributes:
+        total: Sum over the workers.
+        widest: Largest capacity of each resource on one worker.
+    """
+
+    total: resources.Resources = resources.ZERO
+    widest: resources.Resources = resources.ZERO
+
+
 @dataclasses.dataclass(slots=True)
 class Shard:
     """A shard that this daemon owns.
@@ -135,13 +151,19 @@
         workers: Its workers by id.
         index: Workers that take work, found by what they have free.
         queue: Tasks that wait.
+        unheard: Workers that are not claimed under the present epoch.
+        capacities: For each endpoint, what all of its workers have.
+        rooms: For each endpoint, what is left; None when it has changed.
         places: Worker of each placed task.
+        holds: Heap of the deadlines of holds; may name tasks that left.
         ended: Settled updates that their homes have not yet taken.
+        taken: Attempts whose ends their homes have kept.
         team_use: What each team has placed.
         stops: When the stop of each running task is sent again, by worker.
         move_at: Earliest time of the next stop for a move.
         lease_id: Store lease that the ownership key goes with.
         suspended: Whether its workers' leases are left to lapse.
+        open: Whether tasks could start at the latest tick.
         releasing: Whether it is being given up.
     """
 
@@ -151,8 +173,13 @@
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     index: placement.Index = dataclasses.field(default_factory=placement.Index)
     queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
+    unheard: set[str] = dataclasses.field(default_factory=set)
+    capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
+    rooms: list[messages.Room] | None = None
     places: dict[TaskKey, str] = dataclasses.field(default_factory=dict)
+    holds: list[tuple[float, TaskKey]] = dataclasses.field(default_factory=list)
     ended: dict[TaskKey, "Ended"] = dataclasses.field(default_factory=dict)
+    taken: takens.Takens = dataclasses.field(default_factory=takens.Takens)
     team_use: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
@@ -162,6 +189,7 @@
     move_at: float = 0.0
     lease_id: str = ""
     suspended: bool = False
+    open: bool = False
     releasing: bool = False
 
 
@@ -174,7 +202,8 @@
         home: Where it goes.
         worker_id: Worker that keeps the answer; empty if none does.
         resend_at: When it is sent again, seconds since the epoch.
-        until: When it is dropped, seconds since the epoch.
+        until: When its answer is dropped, seconds since the epoch.
+        start_before: Deadline of the attempt's start.
     """
 
     update: messages.TaskUpdate
@@ -182,6 +211,7 @@
     worker_id: str
     resend_at: float
     until: float
+    start_before: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -191,15 +221,15 @@
     Attributes:
         phase: Where it stands.
         worker: Worker that it runs on, if any.
-        sent: Whether its attempt was sent to a shard.
-        epoch: Epoch of the shard when it was last sent.
+        sent: Whether its attempt may have been sent to a shard.
+        unrecorded: Whether the ledger doesn't yet name where it is to go.
         failures: Attempts that failed.
     """
 
     phase: works.Phase = works.Phase.PENDING
     worker: str = ""
     sent: bool = False
-    epoch: int = 0
+    unrecorded: bool = False
     failures: int = 0
 
 
@@ -212,14 +242,25 @@
         home: Bucket, or this daemon's name.
         tasks: Its tasks by index.
         origins: Daemons whose callers wait for it.
+        unsettled: Indexes of the tasks that have not come to their end.
         recorded: Whether the store has it.
+        outcome_recorded: Whether the store has its outcome.
+        whole: Outcome with its whole answer, which may be too large for the
+            ledger; forgotten with this daemon.
     """
 
     entry: documents.Entry
     home: str
     tasks: list[TaskState]
     origins: set[str] = dataclasses.field(default_factory=set)
+    unsettled: set[int] = dataclasses.field(default_factory=set)
     recorded: bool = False
+    outcome_recorded: bool = False
+    whole: works.Outcome | None = None
+
+    def __post_init__(self) -> None:
+        """Counts every task as unsettled until its end is applied."""
+        self.unsettled = set(range(len(self.tasks)))
 
 
 @dataclasses.dataclass(slots=True)
@@ -234,7 +275,11 @@
         loaded: Whether the ledger has been read.
         dirty: Whether the ledger differs from the store's.
         writing: Whether a write is on its way.
+        write_id: Names the latest write.
+        size_bytes: Estimate of the ledger's size in the store.
         flush_at: Earliest time of the next write.
+        accepted: Work whose acceptance the next write records.
+        settled: Work whose outcome the next write records.
         unsent: Tasks to be sent once the ledger is written.
         untaken: Updates to be confirmed once the ledger is written.
         lease_id: Store lease that the ownership key goes with.
@@ -250,7 +295,11 @@
     loaded: bool = False
     dirty: bool = False
     writing: bool = False
+    write_id: str = ""
+    size_bytes: int = 0
     flush_at: float = 0.0
+    accepted: list[str] = dataclasses.field(default_factory=list)
+    settled: list[str] = dataclasses.field(default_factory=list)
     unsent: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     untaken: list[tuple[str, messages.UpdateTaken]] = dataclasses.field(
         default_factory=list
@@ -284,16 +333,16 @@
 
     Attributes:
         handle: The open call.
-        work_id: The work asked about.
+        question: The question.
         missing: Peers that have not answered.
-        records: What was answered so far.
+        pages: What was answered so far.
         until: Deadline, seconds since the epoch.
     """
 
     handle: int
-    work_id: str
+    question: messages.Question
     missing: set[str]
-    records: list[account.Record]
+    pages: list[Any]
     until: float
 
 
@@ -310,12 +359,13 @@
         bootstrap_key: Operator's token that counts while no operator's key
             was ever granted; empty for none.
         now: Time of the latest event, seconds since the epoch.
-        store_heard_at: Up to when this daemon knows the store's changes.
-        confirmed_at: Up to when the configuration here is known to be the
-            latest, by the store or by a peer.
         lease_until: When the store lease may lapse.
+        listed_revision: Store revision at which all ownership was last read.
         freed: Store revision at which each unheld partition was given up.
         drain_at: When the shutdown began, 0 if it has not.
+        handles: Work of each open call.
+        resends: Heap of the times when waiters are looked at again.
+        followed: Epoch of each shard for which running tasks were asked.
     """
 
     name: str
@@ -332,7 +382,8 @@
     )
     config_revision: int = 0
     store_heard_at: float = 0.0
-    confirmed_at: float = 0.0
+    word_at: float = 0.0
+    daemons_listed: bool = False
     lease_id: str = ""
     lease_until: float = 0.0
     renew_at: float = 0.0
@@ -347,14 +398,22 @@
     fleet: resources.Resources = resources.ZERO
     partition_names: tuple[str, ...] = ()
     views: dict[str, View] = dataclasses.field(default_factory=dict)
+    listed_revision: int = 0
     freed: dict[str, int] = dataclasses.field(default_factory=dict)
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
+    sent_room: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    rebalance_at: float = 0.0
     timers: list[tuple[float, int, str, int]] = dataclasses.field(
         default_factory=list
     )
     waiters: dict[str, Waiter] = dataclasses.field(default_factory=dict)
+    handles: dict[int, str] = dataclasses.field(default_factory=dict)
+    resends: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    followed: dict[str, int] = dataclasses.field(default_factory=dict)
     queries: dict[int, Query] = dataclasses.field(default_factory=dict)
     operations: dict[int, Any] = dataclasses.field(default_factory=dict)
     counter: int = 0
