Tell what teams use seldom, and compress what peers send

Cause: every heartbeat of 0.5 s carried what each team uses in each shard, with field names, to each peer, encoded anew for each: far above 11 KB/s at 300 teams (docs/CAPACITY.md gives the slopes). Ruled out: differences only; a lost one must be noticed and healed, and at the peak most teams change within 0.5 s. Compression by the WebSocket library; it would compress small messages too, once for each peer. Change: a heartbeat carries what teams use every 2 s, and peers keep it in between; messages of 512 bytes or more are compressed, once for all peers; a compressed message that unpacks too large is refused. Results: tests/core/test_heartbeats.py, tests/daemon/test_codec.py.

--- a/packages/core/mimosaridge_core/membership.py
+++ b/packages/core/mimosaridge_core/membership.py
@@ -139,7 +139,7 @@
     member.draining = message.draining
     member.config_number = message.config_number
     member.epochs = message.epochs
-    member.summaries = {item.shard: item for item in message.summaries}
+    _take_summaries(member, message)
     for partition, epoch in message.epochs.items():
         known = st.views.get(partition)
         if known is None or known.epoch < epoch:
@@ -152,6 +152,16 @@
         freshness.hear(st, message.word_at)
 
 
+def _take_summaries(member: state.Member, message: messages.Heartbeat) -> None:
+    known = member.summaries
+    member.summaries = {item.shard: item for item in message.summaries}
+    if message.with_teams:
+        return
+    for name, summary in member.summaries.items():
+        if name in known:
+            summary.team_use = known[name].team_use
+
+
 @dispatch.handles(events.PeerRefused)
 def _refused(st: state.State, event: events.PeerRefused, out: list) -> None:
     member = st.members.get(event.name)
@@ -181,6 +191,9 @@
     st.heartbeat_at = st.now + st.tuning.heartbeat_s
     st.sent_room.clear()
     _forget_gone(st)
+    with_teams = st.now >= st.teams_at
+    if with_teams:
+        st.teams_at = st.now + st.tuning.teams_s
     heartbeat = messages.Heartbeat(
         st.url,
         st.zone,
@@ -188,9 +201,13 @@
         st.draining,
         {name: shard.epoch for name, shard in st.shards.items()}
         | {name: bucket.epoch for name, bucket in st.buckets.items()},
-        [summaries.summarize(st, shard) for shard in st.shards.values()],
+        [
+            summaries.summarize(st, shard, with_teams)
+            for shard in st.shards.values()
+        ],
         st.now,
         st.word_at,
+        with_teams,
     )
     for member in st.members.values():
         out.append(effects.SendPeer(member.name, heartbeat))
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -64,6 +64,8 @@
         sent_at: When it was sent, seconds since the epoch.
         word_at: Time up to which its configuration is known to be the
             latest, seconds since the epoch.
+        with_teams: Whether the summaries tell what teams use; otherwise what
+            an earlier heartbeat told still counts.
     """
 
     url: str
@@ -74,6 +76,7 @@
     summaries: list[ShardSummary]
     sent_at: float
     word_at: float
+    with_teams: bool = True
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -327,6 +327,7 @@
     live: tuple[str, ...] = ()
     live_since: float = 0.0
     heartbeat_at: float = 0.0
+    teams_at: float = 0.0
     partitions_at: float = 0.0
     hosts: dict[str, events.Host] = dataclasses.field(default_factory=dict)
     fleet: resources.Resources = resources.ZERO
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -9,6 +9,7 @@
 
     Attributes:
         heartbeat_s: Between heartbeats to each peer.
+        teams_s: Between heartbeats that tell what teams use.
         member_timeout_s: Silence after which a peer counts as gone.
         store_lease_s: Life of the daemon's lease in the store.
         settle_s: How long membership must stand before partitions move.
@@ -31,6 +32,7 @@
     """
 
     heartbeat_s: float = 0.5
+    teams_s: float = 2.0
     member_timeout_s: float = 2.5
     store_lease_s: float = 6.0
     settle_s: float = 1.0
--- a/packages/daemon/mimosaridge_daemon/codec.py
+++ b/packages/daemon/mimosaridge_daemon/codec.py
@@ -2,6 +2,7 @@
 
 import functools
 from typing import Any
+import zlib
 
 import cbor2
 import pydantic
@@ -9,6 +10,11 @@
 from mimosaridge_core import documents
 from mimosaridge_core import messages
 
+PLAIN = b"\x00"
+COMPRESSED = b"\x01"
+COMPRESSED_FROM_BYTES = 512
+COMPRESSION_LEVEL = 1
+LARGEST_MESSAGE_BYTES = 32_000_000
 MESSAGES = {kind.__name__: kind for kind in messages.ALL}
 
 
@@ -26,7 +32,23 @@
     """Encodes a peer message with its sender."""
     kind = type(message)
     fields = adapter(kind).dump_python(message)
-    return cbor2.dumps([kind.__name__, sender, fields])
+    data = cbor2.dumps([kind.__name__, sender, fields])
+    if len(data) < COMPRESSED_FROM_BYTES:
+        return PLAIN + data
+    return COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def _unpack(data: bytes) -> bytes:
+    kind, rest = data[:1], data[1:]
+    if kind == PLAIN:
+        return rest
+    if kind != COMPRESSED:
+        raise ValueError("unknown form")
+    unpacker = zlib.decompressobj()
+    unpacked = unpacker.decompress(rest, LARGEST_MESSAGE_BYTES)
+    if unpacker.unconsumed_tail or not unpacker.eof:
+        raise ValueError("too large or cut short")
+    return unpacked
 
 
 def decode_message(data: bytes) -> tuple[str, Any]:
@@ -36,7 +58,7 @@
         MalformedError: The bytes are no message of a known type.
     """
     try:
-        name, sender, fields = cbor2.loads(data)
+        name, sender, fields = cbor2.loads(_unpack(data))
         message = adapter(MESSAGES[name]).validate_python(fields)
     except (
         cbor2.CBORDecodeError,
@@ -44,6 +66,8 @@
         KeyError,
         TypeError,
         ValueError,
+        RecursionError,
+        zlib.error,
     ) as error:
         raise MalformedError(f"Bad peer message: {error}") from error
     return sender, message
--- a/packages/daemon/mimosaridge_daemon/peers.py
+++ b/packages/daemon/mimosaridge_daemon/peers.py
@@ -22,7 +22,6 @@
 PING_TIMEOUT_S = 2.0
 RETRY_S = 0.3
 QUEUE_MESSAGES = 20_000
-LARGEST_MESSAGE_BYTES = 32_000_000
 SECRET_HEADER = "X-Mimosaridge-Peer"
 
 
@@ -63,7 +62,7 @@
             ping_interval=PING_S,
             ping_timeout=PING_TIMEOUT_S,
             close_timeout=PING_S,
-            max_size=LARGEST_MESSAGE_BYTES,
+            max_size=codec.LARGEST_MESSAGE_BYTES,
             proxy=None,
         )
         with link:
@@ -85,6 +84,8 @@
         self.secret = secret
         self.post = post
         self.outgoing: dict[str, Outgoing] = {}
+        self.latest: Any = None
+        self.latest_data = b""
         host, _, port = address.rpartition(":")
         self.server = server.serve(
             self._receive,
@@ -94,7 +95,7 @@
             process_request=self._check_secret,
             ping_interval=PING_S,
             ping_timeout=PING_TIMEOUT_S,
-            max_size=LARGEST_MESSAGE_BYTES,
+            max_size=codec.LARGEST_MESSAGE_BYTES,
         )
 
     def start(self) -> None:
@@ -114,11 +115,18 @@
             link = Outgoing(url, self.secret, lambda: self._refused(name))
             self.outgoing[name] = link
             gevent.spawn(link.run)
-        link.put(codec.encode_message(self.name, message))
+        link.put(self._encode(message))
 
     def _refused(self, name: str) -> None:
         self.post(events.PeerRefused(time.time(), name))
 
+    def _encode(self, message: Any) -> bytes:
+        """Encodes a message, but not again for each of several peers."""
+        if message is not self.latest:
+            self.latest = message
+            self.latest_data = codec.encode_message(self.name, message)
+        return self.latest_data
+
     def _check_secret(self, link: server.ServerConnection, request: Any) -> Any:
         given = request.headers.get(SECRET_HEADER, "")
         if not hmac.compare_digest(given.encode(), self.secret.encode()):
--- /dev/null
+++ b/tests/core/test_heartbeats.py
@@ -0,0 +1,42 @@
+"""What heartbeats tell and when."""
+
+import testtools
+
+from mimosaridge_core import configuration
+from mimosaridge_core import messages
+from mimosaridge_fakes import deployments
+from mimosaridge_fakes import fleets
+
+
+class HeartbeatTest(testtools.TestCase):
+    """Heartbeats between daemons."""
+
+    def test_what_teams_use_is_told_seldom_and_kept_in_between(self):
+        config = deployments.team_config([configuration.Team("a", "north")])
+        made = deployments.Deployment(fleets.small(), config, daemons=2)
+        assert made.run_until(made.ready, 10.0)
+        made.run_s = lambda task: None
+        sent = []
+        send = made._send
+
+        def watch(name, effect):
+            if isinstance(effect.message, messages.Heartbeat):
+                sent.append((name, effect.message))
+            send(name, effect)
+
+        made._send = watch
+        for _ in range(6):
+            made.submit("d0", "a", idempotent=True)
+        tuning = made.tuning
+        made.run(tuning.teams_s + 1.0)
+        told = [message for name, message in sent if message.with_teams]
+        self.assertLess(len(told), len(sent) / 2)
+        self.assertFalse(sent[-1][1].with_teams)
+        for _, message in sent:
+            if not message.with_teams:
+                for summary in message.summaries:
+                    self.assertEqual({}, summary.team_use)
+        for name, other in (("d0", "d1"), ("d1", "d0")):
+            known = made.daemons[name].members[other].summaries
+            for shard in made.daemons[other].shards.values():
+                self.assertEqual(shard.team_use, known[shard.name].team_use)
--- a/tests/daemon/test_codec.py
+++ b/tests/daemon/test_codec.py
@@ -1,5 +1,7 @@
 """Values survive encoding, and bad bytes are refused."""
 
+import zlib
+
 import cbor2
 from hypothesis import given
 from hypothesis import strategies
@@ -62,7 +64,30 @@
         self.assertRaises(
             codec.MalformedError, codec.decode_message, b"\xff" + data
         )
+        for form in (codec.PLAIN, codec.COMPRESSED):
+            self.assertRaises(
+                codec.MalformedError, codec.decode_message, form + data
+            )
+
+    def test_a_large_message_survives_in_fewer_bytes(self):
+        body = b"answer " * 10_000
+        message = messages.WorkSettled(
+            "id", works.Outcome(codes.Code.OK, "fine", body)
+        )
+        data = codec.encode_message("d0", message)
+        self.assertEqual(("d0", message), codec.decode_message(data))
+        self.assertLess(len(data), len(body) // 10)
+
+    def test_a_message_that_unpacks_too_large_is_refused(self):
+        bomb = zlib.compress(bytes(codec.LARGEST_MESSAGE_BYTES + 1), 1)
+        self.assertRaises(
+            codec.MalformedError, codec.decode_message, codec.COMPRESSED + bomb
+        )
+
+    def test_a_deeply_nested_message_is_refused(self):
+        data = codec.PLAIN + b"\x81" * 100_000 + b"\x00"
+        self.assertRaises(codec.MalformedError, codec.decode_message, data)
 
     def test_a_message_of_unknown_type_is_refused(self):
-        data = cbor2.dumps(["Nothing", "d0", {}])
+        data = codec.PLAIN + cbor2.dumps(["Nothing", "d0", {}])
         self.assertRaises(codec.MalformedError, codec.decode_message, data)
