Keep a late heartbeat from naming an owner that has released a partition

Ruled out: ordering heartbeats by sent_at alone, for the late one may be the last. Now the store revision of the release is remembered and older epochs are ignored.

--- a/packages/core/mimosaridge_core/membership.py
+++ b/packages/core/mimosaridge_core/membership.py
@@ -53,11 +53,10 @@
             member.listed = False
     if event.prefix == documents.PARTITIONS:
         st.listed = True
-        st.views = {
-            name: view
-            for name, view in st.views.items()
-            if documents.PARTITIONS + name in event.values
-        }
+        for name in list(st.views):
+            if documents.PARTITIONS + name not in event.values:
+                del st.views[name]
+                st.released[name] = event.revision
     for key, value in event.values.items():
         changed = events.StoreChanged(
             event.now, key, value, event.revisions[key]
@@ -142,7 +141,8 @@
     member.summaries = {item.shard: item for item in message.summaries}
     for partition, epoch in message.epochs.items():
         known = st.views.get(partition)
-        if known is None or known.epoch < epoch:
+        newest = known.epoch if known else st.released.get(partition, 0)
+        if newest < epoch:
             st.views[partition] = state.View(sender, epoch)
     member.sent_at = message.sent_at
     member.gone = False
--- a/packages/core/mimosaridge_core/partitions.py
+++ b/packages/core/mimosaridge_core/partitions.py
@@ -284,6 +284,7 @@
     partition = event.key.removeprefix(documents.PARTITIONS)
     view = st.views.get(partition)
     if event.value is None:
+        st.released[partition] = event.revision
         if view is not None and view.epoch < event.revision:
             del st.views[partition]
         return
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -325,6 +325,8 @@
         now: Time of the latest event, seconds since the epoch.
         handles: Work of each open call.
         resends: Heap of the times when waiters are looked at again.
+        released: Store revision at which each partition was last seen to
+            have no owner; older epochs are over.
         followed: Epoch of each shard for which running tasks were asked.
     """
 
@@ -356,6 +358,7 @@
     fleet: resources.Resources = resources.ZERO
     partition_names: tuple[str, ...] = ()
     views: dict[str, View] = dataclasses.field(default_factory=dict)
+    released: dict[str, int] = dataclasses.field(default_factory=dict)
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
