--- a/packages/cli/mimosaridge_cli/analyst.py
+++ b/packages/cli/mimosaridge_cli/analyst.py
@@ -26,12 +26,11 @@
             return
         explanation = content["explanation"]
         print(f"Work {work_id}:")
-        for record in explanation["records"]:
-            task = record["task_id"].rpartition("/")[2]
-            who = f"task {task}: " if task else ""
+        for line in explanation["lines"]:
+            who = f"task {line['task']}: " if line["task"] else ""
             print(
-                f"  {output.clock(record['at'])}  {record['daemon']}"
-                f"  {who}{record['text']}  [{record['rule']}]"
+                f"  {output.clock(line['at'])}  {line['daemon']}"
+                f"  {who}{line['text']}  [{line['rule']}]"
             )
         output.silent(explanation["silent"])
 
--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -3,6 +3,7 @@
 import heapq
 
 from mimosaridge_core import account
+from mimosaridge_core import archives
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import effects
@@ -159,6 +160,9 @@
         if entry.settled_at + st.tuning.answer_s <= st.now:
             work.whole = None
         return
+    if not archives.may_forget(st, work):
+        set_timer(st, st.now + st.tuning.archive_s, work, -1)
+        return
     del st.works[entry.work.work_id]
     bucket = st.buckets.get(work.home)
     if bucket is not None:
--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from mimosaridge_core import account
 from mimosaridge_core import configuration
 from mimosaridge_core import works
 
@@ -9,6 +10,7 @@
 DAEMONS = "daemons/"
 PARTITIONS = "partitions/"
 LEDGERS = "ledgers/"
+ACCOUNTS = "accounts/"
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +68,7 @@
         outcome: The outcome of the whole, once settled.
         settled_at: When it was settled, seconds since the epoch.
         cancelled: Whether its team or an operator cancelled it.
+        archived: Whether its account is in the store.
     """
 
     work: works.Work
@@ -73,6 +76,7 @@
     outcome: works.Outcome | None = None
     settled_at: float = 0.0
     cancelled: bool = False
+    archived: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,11 +94,23 @@
     entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class Page:
+    """Accounts of settled work of one bucket, by the minute of their ids.
+
+    Attributes:
+        stories: Accounts by work id.
+    """
+
+    stories: dict[str, account.Story] = dataclasses.field(default_factory=dict)
+
+
 KINDS: dict[str, type] = {
     CONFIG_KEY: configuration.Config,
     DAEMONS: Daemon,
     PARTITIONS: Ownership,
     LEDGERS: Ledger,
+    ACCOUNTS: Page,
 }
 
 
--- a/packages/core/mimosaridge_core/explanations.py
+++ b/packages/core/mimosaridge_core/explanations.py
@@ -1,8 +1,13 @@
-"""What happened to some work: the records of all live daemons, in order."""
+"""What happened to some work, in order.
+
+Live daemons tell what they still know; the archive tells the rest.
+"""
 
 import dataclasses
 
 from mimosaridge_core import account
+from mimosaridge_core import archives
+from mimosaridge_core import buckets
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import effects
@@ -14,19 +19,29 @@
 
 @dataclasses.dataclass(slots=True)
 class Explanation:
-    """All records of some work that live daemons keep, oldest first.
+    """The account of some work.
 
     Attributes:
         work_id: The work.
-        records: The records.
-        silent: Daemons that did not answer in time.
+        lines: What was decided, oldest first.
+        story: The archived account, if there is one.
+        silent: Daemons, or the store, that did not answer in time.
     """
 
     work_id: str
-    records: list[account.Record]
+    lines: list[account.Line]
+    story: account.Story | None
     silent: list[str]
 
 
+@dataclasses.dataclass(slots=True)
+class ArchiveRead:
+    """The archive is being asked for an account."""
+
+    handle: int
+    explanation: Explanation
+
+
 @dispatch.handles(events.ExplainAsked)
 def _explain(st: state.State, event: events.ExplainAsked, out: list) -> None:
     if queries.may_read(st, event.handle, event.token, out):
@@ -39,15 +54,49 @@
     st: state.State, question: messages.AskAccount
 ) -> messages.AccountPage:
     records = st.ring.of(question.work_id)
-    return messages.AccountPage(question.query_id, records)
+    lines = [account.line_of(record) for record in records]
+    return messages.AccountPage(question.query_id, lines)
 
 
 @queries.merges(messages.AskAccount, messages.AccountPage)
 def _merge(
     st: state.State, query: state.Query, silent: list[str], out: list
 ) -> None:
-    records = [record for page in query.pages for record in page.records]
-    records.sort(key=lambda record: record.at)
-    explanation = Explanation(query.question.work_id, records, silent)
-    code = codes.Code.OK if records else codes.Code.NOT_FOUND
-    out.append(effects.Reply(query.handle, code, "", explanation))
+    work_id = query.question.work_id
+    lines = [line for page in query.pages for line in page.lines]
+    explanation = Explanation(work_id, lines, None, silent)
+    try:
+        page = archives.page_of(work_id)
+    except ValueError:
+        _reply(query.handle, explanation, out)
+        return
+    number = st.next_number()
+    st.operations[number] = ArchiveRead(query.handle, explanation)
+    key = archives.key_of(buckets.bucket_of(st, work_id), page)
+    out.append(effects.StoreRead(number, key))
+
+
+@dispatch.answers(ArchiveRead)
+def _archive_read(
+    st: state.State,
+    operation: ArchiveRead,
+    event: events.StoreAnswered,
+    out: list,
+) -> None:
+    explanation = operation.explanation
+    if event.result == "unknown":
+        explanation.silent.append("the store")
+    if event.value is not None:
+        story = event.value.stories.get(explanation.work_id)
+        explanation.story = story
+        explanation.lines += story.lines if story else []
+    _reply(operation.handle, explanation, out)
+
+
+def _reply(handle: int, explanation: Explanation, out: list) -> None:
+    unique = {
+        (line.at, line.daemon, line.text): line for line in explanation.lines
+    }
+    explanation.lines = sorted(unique.values(), key=lambda line: line.at)
+    code = codes.Code.OK if explanation.lines else codes.Code.NOT_FOUND
+    out.append(effects.Reply(handle, code, "", explanation))
--- a/packages/core/mimosaridge_core/ledgers.py
+++ b/packages/core/mimosaridge_core/ledgers.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from mimosaridge_core import account
+from mimosaridge_core import archives
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import dispatching
@@ -130,6 +131,8 @@
     st.works[entry.work.work_id] = work
     if entry.outcome is not None:
         work.outcome_recorded = True
+        if not entry.archived:
+            archives.add(st, bucket, work)
         dispatching.set_timer(st, outcomes.kept_until(st, entry), work, -1)
         return
     for index, assignment in enumerate(entry.assignments):
@@ -267,6 +270,7 @@
         if work is not None:
             work.outcome_recorded = True
             outcomes.tell(work, out)
+            archives.add(st, bucket, work)
     for work_id, index in operation.unsent:
         work = st.works.get(work_id)
         if work is not None and index in work.unsettled:
@@ -276,12 +280,15 @@
 def _announce(
     st: state.State, bucket: state.Bucket, work: state.HomeWork, out: list
 ) -> None:
-    work_id = work.entry.work.work_id
+    spec = work.entry.work
+    work_id = spec.work_id
+    came = f", through {', '.join(sorted(work.origins))}" * bool(work.origins)
     state.note(
         st,
         out,
         account.Rule.RECORDED,
-        f"Recorded in {bucket.name}.",
+        f"Recorded in {bucket.name}: {spec.kind} work of {spec.count} tasks"
+        f" for team {spec.team}{came}.",
         work_id,
         code=codes.Code.ACCEPTED,
     )
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -176,6 +176,7 @@
         phase: Where the task stands.
         worker: Worker that it runs on, if any.
         outcome: Code, detail and answer of a settled attempt.
+        lines: What the owner decided about a settled attempt.
     """
 
     task_id: str
@@ -186,6 +187,7 @@
     phase: works.Phase
     worker: str = ""
     outcome: works.Outcome | None = None
+    lines: list[account.Line] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -217,10 +219,10 @@
 
 @dataclasses.dataclass(slots=True)
 class AccountPage:
-    """A peer's records of some work."""
+    """What a peer knows of some work."""
 
     query_id: int
-    records: list[account.Record]
+    lines: list[account.Line]
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -1,6 +1,7 @@
 """What became of tasks, and of the work that they belong to."""
 
 from mimosaridge_core import account
+from mimosaridge_core import archives
 from mimosaridge_core import buckets
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
@@ -44,6 +45,7 @@
         return
     if message.outcome is not None:
         _confirm(st, work, sender, taken, out)
+        archives.keep_lines(work, message.lines)
     if current:
         _apply(st, work, index, message, out)
     bucket = st.buckets.get(work.home)
@@ -320,7 +322,7 @@
     entry.outcome = _kept(outcome)
     entry.settled_at = st.now
     work_id = entry.work.work_id
-    text = codes.MEANINGS[outcome.code]
+    text = f"{codes.MEANINGS[outcome.code]} {outcome.detail}".rstrip()
     state.note(st, out, account.Rule.SETTLED, text, work_id, code=outcome.code)
     work.whole = outcome
     bucket = st.buckets.get(work.home)
--- a/packages/core/mimosaridge_core/reducer.py
+++ b/packages/core/mimosaridge_core/reducer.py
@@ -1,5 +1,6 @@
 """The single door: reduce(state, event) returns effects."""
 
+from mimosaridge_core import archives
 from mimosaridge_core import dispatch
 from mimosaridge_core import dispatching
 from mimosaridge_core import events
@@ -34,6 +35,7 @@
     ledgers,
     dispatching,
     outcomes,
+    archives,
     services,
     ingress,
     operators,
--- a/packages/core/mimosaridge_core/settling.py
+++ b/packages/core/mimosaridge_core/settling.py
@@ -7,6 +7,13 @@
 from mimosaridge_core import state
 from mimosaridge_core import works
 
+OWNER_RULES = (
+    account.Rule.RESERVATION,
+    account.Rule.PLACEMENT,
+    account.Rule.STARTED,
+    account.Rule.ENDED,
+)
+
 
 def note_task(
     st: state.State,
@@ -75,6 +82,7 @@
         phase,
         worker_id,
         outcome,
+        _lines_of(st, task),
     )
     ended = state.Ended(
         update,
@@ -88,6 +96,14 @@
     send_ended(st, ended, out)
 
 
+def _lines_of(st: state.State, task: works.Task) -> list[account.Line]:
+    return [
+        account.line_of(record)
+        for record in st.ring.of_task(task.work_id, task.task_id)
+        if record.rule in OWNER_RULES
+    ]
+
+
 def settle_cancelled(
     st: state.State, shard: state.Shard, task: works.Task, out: list
 ) -> None:
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -213,6 +213,7 @@
         outcome_recorded: Whether the store has its outcome.
         whole: Outcome with its whole answer, which may be too large for the
             ledger; forgotten with this daemon.
+        lines: What owners decided about its tasks.
     """
 
     entry: documents.Entry
@@ -223,6 +224,7 @@
     recorded: bool = False
     outcome_recorded: bool = False
     whole: works.Outcome | None = None
+    lines: list[account.Line] = dataclasses.field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Counts every task as unsettled until its end is applied."""
@@ -249,6 +251,10 @@
         unsent: Tasks to be sent once the ledger is written.
         untaken: Updates to be confirmed once the ledger is written.
         releasing: Whether it is being given up.
+        stories: Accounts that the store does not have yet, by page.
+        archiving: Page that is being read or written; 0 for none.
+        archive_at: Earliest time of the next page.
+        retire_at: When the oldest page is deleted next.
     """
 
     name: str
@@ -270,6 +276,12 @@
         default_factory=list
     )
     releasing: bool = False
+    stories: dict[int, dict[str, account.Story]] = dataclasses.field(
+        default_factory=dict
+    )
+    archiving: int = 0
+    archive_at: float = 0.0
+    retire_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -20,6 +20,8 @@
         lease_margin_s: Added before a lease counts as surely ended.
         flush_s: Least time between two writes of one ledger.
         retention_s: How long outcomes are kept.
+        archive_s: Least time between two pages that one bucket archives.
+        account_s: How long accounts of settled work are kept.
         answer_s: How long whole answers are kept that no ledger holds.
         proof_s: After its deadline, how long a caller is kept waiting for
             proof of what became of its work.
@@ -44,6 +46,8 @@
     lease_margin_s: float = 2.0
     flush_s: float = 0.03
     retention_s: float = 600.0
+    archive_s: float = 2.0
+    account_s: float = 7 * 86_400.0
     answer_s: float = 60.0
     proof_s: float = 10.0
     skew_s: float = 1.0
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -71,8 +71,8 @@
         """Returns the sentences of an explanation."""
         url = f"{self.deployment.url(daemon)}/v1/explain/{work_id}"
         answer = deployments.fetch("GET", url, token=deployments.BOOTSTRAP_KEY)
-        records = answer.get("explanation", {"records": []})["records"]
-        return " ".join(record["text"] for record in records)
+        records = answer.get("explanation", {"lines": []})["lines"]
+        return " ".join(line["text"] for line in records)
 
 
 @pytest.fixture
