--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -179,6 +179,7 @@
         phase: Where the task stands.
         worker: Worker that it runs on, if any.
         outcome: Code, detail and answer of a settled attempt.
+        lines: What the owner decided about a settled attempt.
     """
 
     task_id: str
@@ -189,6 +190,7 @@
     phase: works.Phase
     worker: str = ""
     outcome: works.Outcome | None = None
+    lines: list[account.Line] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -220,10 +222,10 @@
 
 @dataclasses.dataclass(slots=True)
 class AccountPage:
-    """A peer's records of some work."""
+    """What a peer knows of some work."""
 
     query_id: int
-    records: list[account.Record]
+    lines: list[account.Line]
 
 
 @dataclasses.dataclass(slots=True)
