--- a/packages/core/mimosaridge_core/partitions.py
+++ b/packages/core/mimosaridge_core/partitions.py
@@ -228,7 +228,7 @@
     view = st.views.get(partition)
     newest = max(
         _epoch(st, partition),
-        st.freed.get(partition, 0),
+        st.released.get(partition, 0),
         view.epoch if view and view.owner != st.name else 0,
     )
     if epoch <= newest:
@@ -288,7 +288,7 @@
     partition = message.partition
     view = st.views.get(partition)
     if view is not None and view.owner == sender:
-        st.freed[partition] = max(st.freed.get(partition, 0), view.epoch)
+        st.released[partition] = max(st.released.get(partition, 0), view.epoch)
         del st.views[partition]
     free = partition not in st.views and not _pending(st, partition)
     if free and st.lease_id and not st.draining:
@@ -297,7 +297,7 @@
 
 def _freed(st: state.State, partition: str) -> int:
     """Returns the revision up to which a partition not in view is free."""
-    return max(st.freed.get(partition, 0), st.listed_revision)
+    return max(st.released.get(partition, 0), st.listed_revision)
 
 
 def hear_epochs(
@@ -342,7 +342,7 @@
     partition = event.key.removeprefix(documents.PARTITIONS)
     view = st.views.get(partition)
     if event.value is None:
-        st.freed[partition] = event.revision
+        st.released[partition] = event.revision
         if view is not None and view.epoch < event.revision:
             del st.views[partition]
         return
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -247,6 +247,7 @@
         outcome_recorded: Whether the store has its outcome.
         whole: Outcome with its whole answer, which may be too large for the
             ledger; forgotten with this daemon.
+        lines: What owners decided about its tasks.
     """
 
     entry: documents.Entry
@@ -257,6 +258,7 @@
     recorded: bool = False
     outcome_recorded: bool = False
     whole: works.Outcome | None = None
+    lines: list[account.Line] = dataclasses.field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Counts every task as unsettled until its end is applied."""
@@ -284,6 +286,10 @@
         untaken: Updates to be confirmed once the ledger is written.
         lease_id: Store lease that the ownership key goes with.
         releasing: Whether it is being given up.
+        stories: Accounts that the store does not have yet, by page.
+        archiving: Page that is being read or written; 0 for none.
+        archive_at: Earliest time of the next page.
+        retire_at: When the oldest page is deleted next.
     """
 
     name: str
@@ -306,6 +312,12 @@
     )
     lease_id: str = ""
     releasing: bool = False
+    stories: dict[int, dict[str, account.Story]] = dataclasses.field(
+        default_factory=dict
+    )
+    archiving: int = 0
+    archive_at: float = 0.0
+    retire_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -361,10 +373,11 @@
         now: Time of the latest event, seconds since the epoch.
         lease_until: When the store lease may lapse.
         listed_revision: Store revision at which all ownership was last read.
-        freed: Store revision at which each unheld partition was given up.
         drain_at: When the shutdown began, 0 if it has not.
         handles: Work of each open call.
         resends: Heap of the times when waiters are looked at again.
+        released: Store revision at which each partition was last seen to
+            have no owner; older epochs are over.
         followed: Epoch of each shard for which running tasks were asked.
     """
 
@@ -392,6 +405,7 @@
     live: tuple[str, ...] = ()
     live_since: float = 0.0
     heartbeat_at: float = 0.0
+    teams_at: float = 0.0
     partitions_at: float = 0.0
     hosts: dict[str, events.Host] = dataclasses.field(default_factory=dict)
     unlisted: dict[str, Unlisted] = dataclasses.field(default_factory=dict)
@@ -399,7 +413,7 @@
     partition_names: tuple[str, ...] = ()
     views: dict[str, View] = dataclasses.field(default_factory=dict)
     listed_revision: int = 0
-    freed: dict[str, int] = dataclasses.field(default_factory=dict)
+    released: dict[str, int] = dataclasses.field(default_factory=dict)
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
