Prove owners over real processes: kills, pauses, outage, zones, shutdown

Cause: starts could travel past a pause, a lost start whose new claim failed was never settled, a claim without an answer could renew leases that the owner counted as ended, a refusal for lack of room counted as a lost answer, and a shutdown could end before its last answers were written. Ruled out: a shorter start deadline in the task itself (it comes back with the claim's report and would shorten the at-most-once record).

--- a/packages/daemon/mimosaridge_daemon/clients.py
+++ b/packages/daemon/mimosaridge_daemon/clients.py
@@ -7,6 +7,7 @@
 import urllib3
 
 CONNECT_S = 1.0
+NO_ROOM = 507
 HEADERS = {"Content-Type": "application/json"}
 
 
@@ -42,7 +43,7 @@
             content = json.loads(answer.data) if answer.data else None
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             return result.Err(f"{type(error).__name__}: {error}")
-        if answer.status >= 500:
+        if answer.status >= 500 and answer.status != NO_ROOM:
             return result.Err(f"status {answer.status}")
         return result.Ok((answer.status, content))
 
--- a/packages/daemon/mimosaridge_daemon/main.py
+++ b/packages/daemon/mimosaridge_daemon/main.py
@@ -24,6 +24,8 @@
 LOG = logbook.Logger("main")
 BAD_SETTINGS_EXIT = 2
 LAST_ANSWERS_S = 0.2
+LONGEST_ANSWER_S = 30.0
+WRITTEN_CHECK_S = 0.02
 
 
 def run(**flags: object) -> None:
@@ -46,21 +48,28 @@
 def _serve(chosen: settings.Settings) -> None:
     engine = engines.Engine(chosen)
     routes = api.Api(engine, chosen.largest_body)
-    http = serving.make_server(chosen.listen_http, routes.app)
+    answers = serving.Answers(routes.app)
+    http = serving.make_server(chosen.listen_http, answers)
     collector.tune()
     engine.start()
     http.start()
     for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(
-            number, lambda: engine.post(events.DrainAsked(time.time()))
-        )
+        gevent.signal_handler(number, _drain, engine, answers)
     LOG.info("serving on {}", chosen.listen_http)
     engine.stopped.wait()
     LOG.info("drained")
     gevent.sleep(LAST_ANSWERS_S)
+    with gevent.Timeout(LONGEST_ANSWER_S, False):
+        while answers.open:
+            gevent.sleep(WRITTEN_CHECK_S)
     http.stop(timeout=LAST_ANSWERS_S)
 
 
+def _drain(engine: engines.Engine, answers: serving.Answers) -> None:
+    answers.closing = True
+    engine.post(events.DrainAsked(time.time()))
+
+
 def main() -> None:
     """Entry point."""
     fire.Fire(run, name="mimosaridged")
--- a/packages/daemon/mimosaridge_daemon/workerlinks.py
+++ b/packages/daemon/mimosaridge_daemon/workerlinks.py
@@ -22,6 +22,9 @@
 POLL_S = 5.0
 POLL_GRACE_S = 1.5
 RETRY_S = 0.5
+CLAIMS_S = 5.0
+QUIET_MARGIN_S = 3.0
+NEVER_SENT = ("NewConnectionError", "ConnectTimeoutError")
 REFUSALS = {
     409: codes.Code.STALE_EPOCH,
     410: codes.Code.DEADLINE_PASSED,
@@ -48,16 +51,30 @@
         self.cursor = -1
         self.forgets: list[tuple[str, int]] = []
         self.closed = False
+        self.claims_until = 0.0
 
     def run(self) -> None:
         """Claims the worker and polls it until the link is closed."""
         while not self.closed:
             if self.cursor < 0 and not self.claim():
-                gevent.sleep(RETRY_S)
+                self._pause()
             elif self.cursor >= 0:
                 self._poll()
         self.client.close()
 
+    def _pause(self) -> None:
+        """Waits between claims, and now and then long enough for a lease.
+
+        A claim without an answer may have renewed the worker's leases; they
+        can only be known to have ended after a spell without such calls.
+        """
+        now = time.time()
+        if now < self.claims_until:
+            gevent.sleep(RETRY_S)
+            return
+        gevent.sleep(self.lease_s + QUIET_MARGIN_S)
+        self.claims_until = time.time() + CLAIMS_S
+
     def claim(self) -> bool:
         """Claims the worker and reports what it runs."""
         with self.claiming:
@@ -68,15 +85,25 @@
             }
             answer = self.client.call("POST", "/claim", body, CALL_TIMEOUT_S)
             if answer.is_err():
+                self._claim_failed(answer.err_value)
                 return False
             status, content = answer.ok_value
             if status != 200:
                 self._lost(codes.Code.STALE_EPOCH)
                 return False
+            self.claims_until = 0.0
             self.cursor = content["cursor"]
             self._post_claimed(content)
             return True
 
+    def _claim_failed(self, reason: str) -> None:
+        now = time.time()
+        if reason.startswith(NEVER_SENT):
+            self.claims_until = now + CLAIMS_S
+            return
+        self.claims_until = self.claims_until or now + CLAIMS_S
+        self._lost(codes.Code.WORKER_UNREACHABLE)
+
     def _post_claimed(self, content: Any) -> None:
         tasks = [
             events.HeldTask(
@@ -101,8 +128,13 @@
 
     def _lost(self, code: codes.Code) -> None:
         if not self.closed:
+            now = time.time()
+            unreachable = code == codes.Code.WORKER_UNREACHABLE
+            called_at = now if unreachable else 0.0
             self.post(
-                events.WorkerLost(time.time(), self.worker_id, self.epoch, code)
+                events.WorkerLost(
+                    now, self.worker_id, self.epoch, code, called_at
+                )
             )
 
     def _poll(self) -> None:
@@ -129,7 +161,8 @@
             )
             return
         content = answer.ok_value[1]
-        self.cursor = max(self.cursor, content["cursor"])
+        if self.cursor >= 0:
+            self.cursor = max(self.cursor, content["cursor"])
         now = time.time()
         self.post(
             events.WorkerRenewed(
@@ -155,7 +188,12 @@
         """Starts a task; a lost answer is settled by a new claim."""
         task = effect.task
         label = codec.adapter(works.Task).dump_python(task, mode="json")
-        body = {"epoch": effect.epoch, "claim": effect.claim, "label": label}
+        body = {
+            "epoch": effect.epoch,
+            "claim": effect.claim,
+            "start_before": effect.start_before,
+            "label": label,
+        }
         answer = self.client.call("POST", "/start", body, CALL_TIMEOUT_S)
         code = codes.Code.UNKNOWN
         if answer.is_ok():
--- a/standins/mimosaridge_standins/workers.py
+++ b/standins/mimosaridge_standins/workers.py
@@ -229,7 +229,7 @@
         key = (label["task_id"], label["attempt"])
         if stale(worker, content) or content["claim"] != worker.claim:
             return serving.answer(409, epoch=worker.epoch)
-        if label["start_before"] <= time.time():
+        if content["start_before"] <= time.time():
             return serving.answer(410)
         if key not in worker.runs:
             used = worker.used()
