Tell whether the configuration in force is the latest

Cause: a daemon that is cut off could not know that a key was withdrawn or a zone taken out, and its word of the store was the time of receipt, so a paused daemon that wakes would trust answers from before the pause. Ruled out: a majority of listed daemons; stopping at every outage (docs/design/0040-freshness.md). A document in the store that can't be read no longer ends the watch. Conclusion: freshness.is_current(st) holds for acceptance here and is meant for starts too.

--- a/packages/core/mimosaridge_core/codes.py
+++ b/packages/core/mimosaridge_core/codes.py
@@ -14,6 +14,7 @@
     IMPOSSIBLE = 103
     DRAINING = 104
     CANCELLED = 105
+    STALE_CONFIG = 106
     UNKNOWN = 200
     TASK_FAILED = 201
     BAD_INPUT = 300
@@ -49,6 +50,10 @@
         "It did not run: this daemon is shutting down; send it to another."
     ),
     Code.CANCELLED: "It was cancelled by its team or an operator.",
+    Code.STALE_CONFIG: (
+        "It did not run: this daemon can't tell whether its configuration is"
+        " still the latest; send it to another."
+    ),
     Code.UNKNOWN: (
         "It was sent to a worker and its fate can't be proved; check the"
         " effect before sending it again."
--- a/packages/core/mimosaridge_core/events.py
+++ b/packages/core/mimosaridge_core/events.py
@@ -60,17 +60,41 @@
 
 @dataclasses.dataclass(slots=True)
 class StoreListed(Event):
-    """All keys under a prefix, read when a watch begins anew."""
+    """All keys under a prefix, read when a watch begins anew.
+
+    Attributes:
+        prefix: The prefix.
+        revision: The store's revision at the time.
+        values: Documents by key; one that can't be read is left out.
+        revisions: Revisions of all keys found, also of unreadable ones.
+        asked_at: When the call was made, seconds since the epoch.
+    """
 
     prefix: str
     revision: int
     values: dict[str, Any]
     revisions: dict[str, int]
+    asked_at: float
 
 
 @dataclasses.dataclass(slots=True)
 class StoreHeard(Event):
-    """The store has answered a watch; what is known is up to date."""
+    """The store has answered a watch; all changes so far were handed over.
+
+    Attributes:
+        prefix: What is watched.
+        asked_at: When the call was made, seconds since the epoch.
+    """
+
+    prefix: str
+    asked_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class PeerRefused(Event):
+    """A peer's host answered that nobody listens at the peer's address."""
+
+    name: str
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/ingress.py
+++ b/packages/core/mimosaridge_core/ingress.py
@@ -8,6 +8,7 @@
 from mimosaridge_core import dispatch
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import freshness
 from mimosaridge_core import homes
 from mimosaridge_core import keys
 from mimosaridge_core import messages
@@ -23,6 +24,8 @@
     """Returns a refusal, or None if the work may be taken."""
     if st.draining:
         return works.Outcome(codes.Code.DRAINING)
+    if not freshness.is_current(st):
+        return works.Outcome(codes.Code.STALE_CONFIG)
     refusal = _check_key(st, event)
     if refusal is not None:
         return refusal
--- a/packages/core/mimosaridge_core/membership.py
+++ b/packages/core/mimosaridge_core/membership.py
@@ -6,6 +6,7 @@
 from mimosaridge_core import documents
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import freshness
 from mimosaridge_core import messages
 from mimosaridge_core import resources
 from mimosaridge_core import state
@@ -39,12 +40,15 @@
 @dispatch.handles(events.StoreHeard)
 def _store_heard(st: state.State, event: events.StoreHeard, out: list) -> None:
     st.store_heard_at = st.now
+    if event.prefix == documents.CONFIG_KEY:
+        freshness.hear(st, event.asked_at)
 
 
 @dispatch.handles(events.StoreListed)
 def _listed(st: state.State, event: events.StoreListed, out: list) -> None:
     st.store_heard_at = st.now
     if event.prefix == documents.DAEMONS:
+        st.daemons_listed = True
         for member in st.members.values():
             member.listed = False
     if event.prefix == documents.PARTITIONS:
@@ -59,6 +63,8 @@
             event.now, key, value, event.revisions[key]
         )
         _changed(st, changed, out)
+    if event.prefix == documents.CONFIG_KEY:
+        freshness.hear(st, event.asked_at)
 
 
 @dispatch.handles(events.StoreChanged)
@@ -138,8 +144,19 @@
         known = st.views.get(partition)
         if known is None or known.epoch < epoch:
             st.views[partition] = state.View(sender, epoch)
+    member.sent_at = message.sent_at
+    member.gone = False
     if message.config_number > st.config.number:
         out.append(effects.SendPeer(sender, messages.AskConfig()))
+    else:
+        freshness.hear(st, message.word_at)
+
+
+@dispatch.handles(events.PeerRefused)
+def _refused(st: state.State, event: events.PeerRefused, out: list) -> None:
+    member = st.members.get(event.name)
+    if member is not None:
+        member.gone = True
 
 
 @dispatch.receives(messages.AskConfig)
@@ -171,6 +188,8 @@
         {name: shard.epoch for name, shard in st.shards.items()}
         | {name: bucket.epoch for name, bucket in st.buckets.items()},
         [summaries.summarize(st, shard) for shard in st.shards.values()],
+        st.now,
+        st.word_at,
     )
     for member in st.members.values():
         out.append(effects.SendPeer(member.name, heartbeat))
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -61,6 +61,9 @@
         draining: Whether it is shutting down.
         epochs: Partitions that it holds, with their epochs.
         summaries: Its shards.
+        sent_at: When it was sent, seconds since the epoch.
+        word_at: Time up to which its configuration is known to be the
+            latest, seconds since the epoch.
     """
 
     url: str
@@ -69,6 +72,8 @@
     draining: bool
     epochs: dict[str, int]
     summaries: list[ShardSummary]
+    sent_at: float
+    word_at: float
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -32,6 +32,8 @@
         config_number: Configuration in force there.
         epochs: Partitions that it holds, with their epochs.
         summaries: Its shards, by name.
+        sent_at: When its latest heartbeat was sent, seconds since the epoch.
+        gone: Whether its host says that the process is gone.
     """
 
     name: str
@@ -45,6 +47,8 @@
     summaries: dict[str, messages.ShardSummary] = dataclasses.field(
         default_factory=dict
     )
+    sent_at: float = 0.0
+    gone: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -290,6 +294,8 @@
     )
     config_revision: int = 0
     store_heard_at: float = 0.0
+    word_at: float = 0.0
+    daemons_listed: bool = False
     lease_id: str = ""
     renew_at: float = 0.0
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
--- a/packages/daemon/mimosaridge_daemon/peers.py
+++ b/packages/daemon/mimosaridge_daemon/peers.py
@@ -29,9 +29,12 @@
 class Outgoing:
     """Messages to one peer, in order, over one connection at a time."""
 
-    def __init__(self, url: str, secret: str) -> None:
+    def __init__(
+        self, url: str, secret: str, refused: Callable[[], None]
+    ) -> None:
         self.url = url
         self.secret = secret
+        self.refused = refused
         self.messages: queue.Queue = queue.Queue()
         self.closed = False
 
@@ -45,6 +48,9 @@
         while not self.closed:
             try:
                 self._serve()
+            except ConnectionRefusedError:
+                self.refused()
+                gevent.sleep(RETRY_S)
             except (OSError, exceptions.WebSocketException, TimeoutError):
                 gevent.sleep(RETRY_S)
 
@@ -105,11 +111,14 @@
             link.closed = True
             link = None
         if link is None:
-            link = Outgoing(url, self.secret)
+            link = Outgoing(url, self.secret, lambda: self._refused(name))
             self.outgoing[name] = link
             gevent.spawn(link.run)
         link.put(codec.encode_message(self.name, message))
 
+    def _refused(self, name: str) -> None:
+        self.post(events.PeerRefused(time.time(), name))
+
     def _check_secret(self, link: server.ServerConnection, request: Any) -> Any:
         given = request.headers.get(SECRET_HEADER, "")
         if not hmac.compare_digest(given.encode(), self.secret.encode()):
--- a/packages/daemon/mimosaridge_daemon/store.py
+++ b/packages/daemon/mimosaridge_daemon/store.py
@@ -18,7 +18,7 @@
 LOG = logbook.Logger("store")
 CALLS = 16
 CALL_TIMEOUT_S = 2.0
-WATCH_S = 2.0
+WATCH_S = 1.0
 WATCH_GRACE_S = 1.0
 RETRY_S = 0.3
 WATCHED = (documents.CONFIG_KEY, documents.DAEMONS, documents.PARTITIONS)
@@ -119,18 +119,26 @@
 
     def _list(self, prefix: str) -> int:
         path = f"/v1/range?prefix={parse.quote(prefix)}"
+        asked_at = time.time()
         answer = self.client.call("GET", path, None, CALL_TIMEOUT_S)
-        if answer.is_err():
+        if answer.is_err() or answer.ok_value[0] != 200:
             return -1
         _, content = answer.ok_value
         values, revisions = {}, {}
         for item in content["items"]:
             key = item["key"]
-            values[key] = codec.decode_document(key, item["value"])
             revisions[key] = item["revision"]
+            value = _decode(key, item["value"])
+            if value is not None:
+                values[key] = value
         self.post(
             events.StoreListed(
-                time.time(), prefix, content["revision"], values, revisions
+                time.time(),
+                prefix,
+                content["revision"],
+                values,
+                revisions,
+                asked_at,
             )
         )
         return content["revision"]
@@ -140,15 +148,30 @@
             f"/v1/watch?prefix={parse.quote(prefix)}&after={after}"
             f"&wait_s={WATCH_S}"
         )
+        asked_at = time.time()
         answer = self.client.call("GET", path, None, WATCH_S + WATCH_GRACE_S)
         if answer.is_err() or answer.ok_value[0] != 200:
             return -1
         content = answer.ok_value[1]
-        self.post(events.StoreHeard(time.time()))
         for item in content["items"]:
-            key = item["key"]
-            value = codec.decode_document(key, item["value"])
-            self.post(
-                events.StoreChanged(time.time(), key, value, item["revision"])
-            )
+            self._changed(item)
+        self.post(events.StoreHeard(time.time(), prefix, asked_at))
         return content["revision"]
+
+    def _changed(self, item: Any) -> None:
+        key = item["key"]
+        value = _decode(key, item["value"])
+        if value is None and item["value"] is not None:
+            return
+        self.post(
+            events.StoreChanged(time.time(), key, value, item["revision"])
+        )
+
+
+def _decode(key: str, value: Any) -> Any:
+    """Returns a document, or None if it is absent or can't be read."""
+    try:
+        return codec.decode_document(key, value)
+    except codec.MalformedError as error:
+        LOG.error("{}", error)
+        return None
--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -189,7 +189,8 @@
                 self._report(worker, report)
 
     def _watch(self, name: str) -> None:
-        if self.store.down or (name, "store") in self.cuts:
+        cut = (name, "store") in self.cuts
+        if self.store.down or cut or name in self.paused:
             return
         seen = self.seen.get(name)
         self.seen[name] = len(self.store.changes)
@@ -197,13 +198,14 @@
             for prefix in WATCHED:
                 self.post(name, self.store.listed(prefix, self.now))
             return
-        self.post(name, events.StoreHeard(self.now))
         for key, value, revision in self.store.changes[seen:]:
             if key.startswith(WATCHED):
                 changed = events.StoreChanged(
                     self.now, key, copy.deepcopy(value), revision
                 )
                 self.post(name, changed)
+        for prefix in WATCHED:
+            self.post(name, events.StoreHeard(self.now, prefix, self.now))
 
     def _deliver(self, name: str, event: events.Event) -> None:
         if name not in self.daemons:
@@ -241,6 +243,10 @@
     def _send(self, name: str, effect: effects.SendPeer) -> None:
         if (name, effect.daemon) in self.cuts:
             return
+        if effect.daemon not in self.daemons:
+            refused = events.PeerRefused(self.now, effect.daemon)
+            self.post(name, refused, DELAY_S)
+            return
         message = pickle.loads(pickle.dumps(effect.message))
         event = events.PeerMessage(self.now, name, message)
         self.post(effect.daemon, event, DELAY_S)
--- a/standins/mimosaridge_fakes/stores.py
+++ b/standins/mimosaridge_fakes/stores.py
@@ -121,4 +121,5 @@
             self.revision,
             {key: copy.deepcopy(item.value) for key, item in found.items()},
             {key: item.revision for key, item in found.items()},
+            now,
         )
--- a/tests/core/test_codetable.py
+++ b/tests/core/test_codetable.py
@@ -2,9 +2,10 @@
 
 import pathlib
 
+import testtools
+
 from mimosaridge_core import codes
 from mimosaridge_core import codetable
-import testtools
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "RESULT-CODES.md"
 
