--- a/packages/core/mimosaridge_core/account.py
+++ b/packages/core/mimosaridge_core/account.py
@@ -25,6 +25,7 @@
     CANCELLATION = "cancellation"
     OWNERSHIP = "ownership"
     CONFIGURATION = "configuration"
+    LIMIT = "limit"
     MEMBERSHIP = "membership"
 
 
--- a/packages/core/mimosaridge_core/changes.py
+++ b/packages/core/mimosaridge_core/changes.py
@@ -5,6 +5,7 @@
 
 from mimosaridge_core import configuration
 from mimosaridge_core import keys
+from mimosaridge_core import limits
 from mimosaridge_core import resources
 from mimosaridge_core import works
 
@@ -52,7 +53,11 @@
         if self.share <= 0:
             raise InvalidError("A share must be above zero.")
         config.teams[self.team] = configuration.Team(
-            self.team, self.workspace, self.share, self.upper_limit
+            self.team,
+            self.workspace,
+            self.share,
+            self.upper_limit,
+            config.number,
         )
 
     def summary(self) -> str:
@@ -99,7 +104,10 @@
             InvalidError: There is no such team.
         """
         _require_team(config, self.team)
-        config.teams[self.team].upper_limit = self.upper_limit
+        team = config.teams[self.team]
+        if limits.limits_more(self.upper_limit, team.upper_limit):
+            team.limited_since = config.number
+        team.upper_limit = self.upper_limit
 
     def summary(self) -> str:
         """Says what the change does."""
--- a/packages/core/mimosaridge_core/codes.py
+++ b/packages/core/mimosaridge_core/codes.py
@@ -30,6 +30,7 @@
     STALE_EPOCH = 500
     NO_ROOM = 501
     WORKER_UNREACHABLE = 502
+    OVER_LIMIT = 503
 
 
 MEANINGS: dict[Code, str] = {
@@ -80,6 +81,10 @@
     Code.STALE_EPOCH: "A newer owner has claimed the worker.",
     Code.NO_ROOM: "The worker has no room for it.",
     Code.WORKER_UNREACHABLE: "The worker does not answer.",
+    Code.OVER_LIMIT: (
+        "It was stopped because its team's upper limit was lowered; it starts"
+        " again when the limit allows."
+    ),
 }
 
 
--- a/packages/core/mimosaridge_core/configuration.py
+++ b/packages/core/mimosaridge_core/configuration.py
@@ -15,12 +15,15 @@
         workspace: The workspace it belongs to.
         share: Weight of its claim when all is full.
         upper_limit: Most that it may have running; zero means no limit.
+        limited_since: Configuration that last limited a resource that had
+            no limit before.
     """
 
     name: str
     workspace: str
     share: float = 1.0
     upper_limit: resources.Resources = resources.ZERO
+    limited_since: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -3,12 +3,14 @@
 import dataclasses
 
 from mimosaridge_core import configuration
+from mimosaridge_core import resources
 from mimosaridge_core import works
 
 CONFIG_KEY = "config"
 DAEMONS = "daemons/"
 PARTITIONS = "partitions/"
 LEDGERS = "ledgers/"
+ALLOWANCES = "allowances/"
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,11 +88,40 @@
     entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class Part:
+    """A shard's part of a team's upper limit.
+
+    Attributes:
+        epoch: Epoch of the shard's owner that may use it.
+        number: Configuration under which the shard's use was counted.
+        amount: The most that the shard may run for the team.
+    """
+
+    epoch: int
+    number: int
+    amount: resources.Resources
+
+
+@dataclasses.dataclass(slots=True)
+class Allowances:
+    """How a team's upper limit is divided among the shards.
+
+    Attributes:
+        number: Latest configuration under which it was written.
+        parts: Parts by shard.
+    """
+
+    number: int = 0
+    parts: dict[str, Part] = dataclasses.field(default_factory=dict)
+
+
 KINDS: dict[str, type] = {
     CONFIG_KEY: configuration.Config,
     DAEMONS: Daemon,
     PARTITIONS: Ownership,
     LEDGERS: Ledger,
+    ALLOWANCES: Allowances,
 }
 
 
--- a/packages/core/mimosaridge_core/fairness.py
+++ b/packages/core/mimosaridge_core/fairness.py
@@ -25,20 +25,28 @@
     return min(lanes, key=lambda lane: claim_on_share(st, shard, lane[0]))
 
 
-def shard_names(st: state.State) -> tuple[str, ...]:
-    """Returns the names of all shards, sorted."""
-    return tuple(
-        name for name in st.partition_names if name.startswith("shard-")
-    )
-
-
 def within_limit(st: state.State, shard: state.Shard, task: works.Task) -> bool:
-    """Tells whether the shard's part of the team's limit has room."""
+    """Tells whether the shard's part of the team's limit has room.
+
+    If it has none, the part is asked for.
+    """
     team = st.config.teams.get(task.team)
     if team is None:
         return False
     if team.upper_limit == resources.ZERO:
         return True
-    allowance = limits.allowance(team.upper_limit, shard_names(st), shard.name)
+    book = st.books.setdefault(task.team, limits.Book())
+    part = limits.part_in_force(
+        book, shard.name, shard.epoch, team.limited_since
+    )
     used = shard.team_use.get(task.team, resources.ZERO)
-    return (used + task.needs).fits(allowance)
+    if (
+        part is not None
+        and book.document.number <= st.config.number
+        and limits.permits(book, team.upper_limit, part, used + task.needs)
+    ):
+        return True
+    if shard.name not in book.wanted:
+        book.wanted[shard.name] = task.needs
+        book.look_at = min(book.look_at, st.now)
+    return False
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -209,6 +209,26 @@
     records: list[account.Record]
 
 
+@dataclasses.dataclass(slots=True)
+class AskAllowance:
+    """Asks an owner to give up unused allowance of a team.
+
+    Attributes:
+        team: The team.
+        needs: What the asking shard needs.
+    """
+
+    team: str
+    needs: resources.Resources
+
+
+@dataclasses.dataclass(slots=True)
+class AllowanceFreed:
+    """Allowance of a team was given up in the store."""
+
+    team: str
+
+
 ALL: tuple[type, ...] = (
     Heartbeat,
     Released,
@@ -225,4 +245,6 @@
     UpdateTaken,
     AskAccount,
     AccountPage,
+    AskAllowance,
+    AllowanceFreed,
 )
--- a/packages/core/mimosaridge_core/operators.py
+++ b/packages/core/mimosaridge_core/operators.py
@@ -81,8 +81,8 @@
     config: configuration.Config, change: Any
 ) -> configuration.Config:
     new = copy.deepcopy(config)
-    change.apply(new)
     new.number = config.number + 1
+    change.apply(new)
     return new
 
 
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -155,6 +155,8 @@
         return spec.start_before > st.now
     if not spec.idempotent or message.phase == works.Phase.DONE:
         return False
+    if message.outcome.code == codes.Code.OVER_LIMIT:
+        return True
     if spec.kind == works.Kind.REQUEST and message.phase == works.Phase.FAILED:
         return False
     return work.tasks[index].failures + 1 < st.tuning.attempts
@@ -169,7 +171,8 @@
 ) -> None:
     task = work.tasks[index]
     task.phase = works.Phase.PENDING
-    task.failures += 1
+    if message.outcome.code != codes.Code.OVER_LIMIT:
+        task.failures += 1
     ceiling = min(
         LONGEST_RETRY_S, dispatching.FIRST_RETRY_S * 2 ** min(task.failures, 8)
     )
--- /dev/null
+++ b/packages/core/mimosaridge_core/overuse.py
@@ -0,0 +1,107 @@
+"""Stopping what exceeds an upper limit after the limit was lowered."""
+
+from mimosaridge_core import account
+from mimosaridge_core import codes
+from mimosaridge_core import configuration
+from mimosaridge_core import effects
+from mimosaridge_core import limits
+from mimosaridge_core import resources
+from mimosaridge_core import settling
+from mimosaridge_core import state
+from mimosaridge_core import works
+
+# Owners give up what they don't use before any of them stops a task.
+PATIENCE_S = 1.0
+
+# Requests are not stopped: their callers wait, and they soon end.
+STOP_ORDER = (works.Kind.BATCH, works.Kind.GANG, works.Kind.SERVICE)
+
+
+def _quota(total: int, limit: int, part: int) -> int:
+    """Returns a part's share of the excess, rounded up."""
+    if not limit or total <= limit:
+        return 0
+    return -(-(total - limit) * part // total)
+
+
+def target(
+    part: resources.Resources,
+    live: resources.Resources,
+    limit: resources.Resources,
+) -> resources.Resources:
+    """Returns what a shard may keep of its part.
+
+    Args:
+        part: The shard's part.
+        live: Sum of all parts.
+        limit: The team's upper limit.
+    """
+    return part - resources.Resources(
+        _quota(live.cpu_millis, limit.cpu_millis, part.cpu_millis),
+        _quota(live.memory_mib, limit.memory_mib, part.memory_mib),
+        _quota(live.accelerators, limit.accelerators, part.accelerators),
+        _quota(live.slots, limit.slots, part.slots),
+        _quota(live.connections, limit.connections, part.connections),
+    )
+
+
+def stop(
+    st: state.State,
+    shard: state.Shard,
+    team: configuration.Team,
+    part: resources.Resources,
+    live: resources.Resources,
+    out: list,
+) -> None:
+    """Stops a shard's share of the excess, the newest batch work first."""
+    keep = limits.unlimited_where(
+        team.upper_limit, target(part, live, team.upper_limit)
+    )
+    used = shard.team_use.get(team.name, resources.ZERO)
+    for worker, placed in _candidates(shard, team.name):
+        if not placed.stopping and used.fits(keep):
+            continue
+        used = used - placed.task.needs
+        _send_stop(st, shard, worker, placed, out)
+
+
+def _candidates(
+    shard: state.Shard, team: str
+) -> list[tuple[state.Worker, state.Placed]]:
+    """Returns what may be stopped: what is stopping, then the newest."""
+    found = [
+        (worker, placed)
+        for worker in shard.workers.values()
+        for placed in worker.placed.values()
+        if placed.task.team == team and placed.task.kind in STOP_ORDER
+    ]
+    found.sort(key=lambda pair: -pair[1].task.submitted_at)
+    found.sort(key=lambda pair: STOP_ORDER.index(pair[1].task.kind))
+    found.sort(key=lambda pair: not pair[1].stopping)
+    return found
+
+
+def _send_stop(
+    st: state.State,
+    shard: state.Shard,
+    worker: state.Worker,
+    placed: state.Placed,
+    out: list,
+) -> None:
+    task = placed.task
+    if not placed.stopping:
+        placed.stopping = True
+        placed.stop_code = codes.Code.OVER_LIMIT
+        text = f"Stopped: the upper limit of team {task.team} was lowered."
+        settling.note_task(
+            st, shard, task, account.Rule.LIMIT, text, out, placed.stop_code
+        )
+    out.append(
+        effects.StopTask(
+            worker.host.worker_id,
+            worker.host.url,
+            shard.epoch,
+            task.task_id,
+            task.attempt,
+        )
+    )
--- a/packages/core/mimosaridge_core/reducer.py
+++ b/packages/core/mimosaridge_core/reducer.py
@@ -1,5 +1,6 @@
 """The single door: reduce(state, event) returns effects."""
 
+from mimosaridge_core import allowances
 from mimosaridge_core import dispatch
 from mimosaridge_core import dispatching
 from mimosaridge_core import events
@@ -24,6 +25,7 @@
     workerreports,
     placing,
     expiry,
+    allowances,
     homes,
     ledgers,
     dispatching,
--- a/packages/core/mimosaridge_core/resources.py
+++ b/packages/core/mimosaridge_core/resources.py
@@ -39,6 +39,46 @@
             self.connections - other.connections,
         )
 
+    def at_least(self, other: "Resources") -> "Resources":
+        """Returns the larger amount of each resource."""
+        return Resources(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_mib, other.memory_mib),
+            max(self.accelerators, other.accelerators),
+            max(self.slots, other.slots),
+            max(self.connections, other.connections),
+        )
+
+    def at_most(self, other: "Resources") -> "Resources":
+        """Returns the smaller amount of each resource."""
+        return Resources(
+            min(self.cpu_millis, other.cpu_millis),
+            min(self.memory_mib, other.memory_mib),
+            min(self.accelerators, other.accelerators),
+            min(self.slots, other.slots),
+            min(self.connections, other.connections),
+        )
+
+    def halved(self) -> "Resources":
+        """Returns half of each resource, rounded down."""
+        return Resources(
+            self.cpu_millis // 2,
+            self.memory_mib // 2,
+            self.accelerators // 2,
+            self.slots // 2,
+            self.connections // 2,
+        )
+
+    def times(self, factor: int) -> "Resources":
+        """Returns this amount several times."""
+        return Resources(
+            self.cpu_millis * factor,
+            self.memory_mib * factor,
+            self.accelerators * factor,
+            self.slots * factor,
+            self.connections * factor,
+        )
+
     def fits(self, room: "Resources") -> bool:
         """Tells whether this amount is at most `room` in every resource."""
         return (
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -10,6 +10,7 @@
 from mimosaridge_core import documents
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import limits
 from mimosaridge_core import messages
 from mimosaridge_core import placement
 from mimosaridge_core import queueing
@@ -68,12 +69,14 @@
         phase: HELD, PLACING (start sent) or RUNNING.
         hold_until: Deadline of a hold, seconds since the epoch.
         stopping: Whether its stop was sent.
+        stop_code: Why this daemon stops it; OK if its home asked.
     """
 
     task: works.Task
     phase: works.Phase
     hold_until: float = 0.0
     stopping: bool = False
+    stop_code: codes.Code = codes.Code.OK
 
 
 TaskKey = tuple[str, int]
@@ -310,6 +313,9 @@
     views: dict[str, View] = dataclasses.field(default_factory=dict)
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
+    books: dict[str, limits.Book] = dataclasses.field(default_factory=dict)
+    store_calls: float = 0.0
+    store_calls_at: float = 0.0
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
     timers: list[tuple[float, int, str, int]] = dataclasses.field(
         default_factory=list
--- a/packages/core/mimosaridge_core/workerreports.py
+++ b/packages/core/mimosaridge_core/workerreports.py
@@ -75,9 +75,10 @@
         worker.placed[key].phase = works.Phase.RUNNING
         settling.tell(st, shard, item.task, works.Phase.RUNNING, worker, out)
         return
-    rooms.give_room(shard, worker, key)
+    placed = rooms.give_room(shard, worker, key)
     if key not in shard.ended:
-        _ended(st, shard, worker, item.task, item, out)
+        stop_code = placed.stop_code if placed else codes.Code.OK
+        _ended(st, shard, worker, item.task, item, out, stop_code)
 
 
 @dispatch.handles(events.WorkerRenewed)
@@ -154,7 +155,7 @@
     shard, worker = found
     placed = rooms.give_room(shard, worker, (event.task_id, event.attempt))
     if placed is not None:
-        _ended(st, shard, worker, placed.task, event, out)
+        _ended(st, shard, worker, placed.task, event, out, placed.stop_code)
         scheduling.schedule(st, shard, out)
 
 
@@ -165,13 +166,13 @@
     task: works.Task,
     report: events.HeldTask | events.TaskEnded,
     out: list,
+    stop_code: codes.Code,
 ) -> None:
     if report.ok:
         phase = works.Phase.DONE
         outcome = works.Outcome(codes.Code.OK, "", report.answer)
     else:
         phase = works.Phase.FAILED
-        outcome = works.Outcome(
-            codes.Code.TASK_FAILED, report.detail, report.answer
-        )
+        code = stop_code or codes.Code.TASK_FAILED
+        outcome = works.Outcome(code, report.detail, report.answer)
     settling.settle(st, shard, task, phase, outcome, worker.host.worker_id, out)
--- a/packages/daemon/mimosaridge_daemon/store.py
+++ b/packages/daemon/mimosaridge_daemon/store.py
@@ -81,7 +81,7 @@
         if status == 404:
             self._answered(effect.op_id, "absent")
             return
-        value = codec.decode_document(effect.key, content["value"])
+        value = _decode(effect.key, content["value"])
         self._answered(effect.op_id, "ok", value, content["revision"])
 
     def _answered(
--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -41,8 +41,14 @@
 def team_config(
     teams: list[configuration.Team],
 ) -> configuration.Config:
-    """Returns a first configuration with one key "k-TEAM.secret" a team."""
+    """Returns a first configuration with one key "k-TEAM.secret" a team.
+
+    It also has the key "k-operator.secret" of an operator.
+    """
     config = configuration.Config(number=1)
+    config.keys["k-operator"] = configuration.Key(
+        "k-operator", keys.OPERATOR, "", SALT, keys.digest(SALT, "secret")
+    )
     for team in teams:
         config.teams[team.name] = team
         key_id = f"k-{team.name}"
@@ -63,6 +69,8 @@
             and worker ids count as names.
         replies: Replies to callers, by daemon and handle.
         records: All decisions.
+        run_s: Run time of a task in seconds; None if it does not end.
+        on_start: Called after each start that took effect.
     """
 
     def __init__(
@@ -92,6 +100,7 @@
         self.sequence = 0
         self.handle = 0
         self.run_s: Callable[[works.Task], float | None] = lambda task: 0.05
+        self.on_start: Callable[[], None] = lambda: None
         first = effects.StoreWrite(0, documents.CONFIG_KEY, config, 0)
         self.store.write(first, "", self.now)
         for number in range(daemons):
@@ -350,6 +359,7 @@
             code = worker.take_start(sent, self.now)
             if fresh and key in worker.runs:
                 self._plan_end(worker, task)
+                self.on_start()
         answer = events.StartAnswered(
             self.now, effect.worker_id, effect.epoch, *key, code
         )
@@ -427,6 +437,41 @@
         self.post(name, event)
         return work.work_id, self.handle
 
+    def confirm(self, name: str, change: Any, base_number: int = -1) -> int:
+        """Has an operator confirm a change; returns the reply's handle.
+
+        Args:
+            name: The daemon.
+            change: The change.
+            base_number: Configuration that its plan was made on; the one in
+                force at the daemon if negative.
+        """
+        self.handle += 1
+        if base_number < 0:
+            base_number = self.daemons[name].config.number
+        event = events.PlanConfirmed(
+            self.now,
+            self.handle,
+            "k-operator.secret",
+            change,
+            base_number,
+            self.now + self.tuning.plan_s,
+            f"change-{self.handle}",
+        )
+        self.post(name, event)
+        return self.handle
+
+    def running(self, team: str) -> resources.Resources:
+        """Returns what a team's tasks use on all workers."""
+        return resources.total(
+            [
+                run.task.needs
+                for worker in self.workers.values()
+                for run in worker.runs.values()
+                if not run.ended and run.task.team == team
+            ]
+        )
+
     def ready(self) -> bool:
         """Tells whether every partition has one owner that knows all."""
         owned = [
