--- a/packages/core/mimosaridge_core/allowances.py
+++ b/packages/core/mimosaridge_core/allowances.py
@@ -219,6 +219,7 @@
 ) -> None:
     draft = documents.Allowances(st.config.number, dict(book.document.parts))
     _count_use(st, team, book, draft)
+    _leave_vanishing(st, team, draft)
     _drop_vanished(st, book, draft)
     names = frozenset(st.partition_names)
     notify: list[str] = []
@@ -280,6 +281,18 @@
             )
 
 
+def _leave_vanishing(
+    st: state.State, team: configuration.Team, draft: documents.Allowances
+) -> None:
+    """Gives up what own shards that no longer exist don't use."""
+    for shard in st.shards.values():
+        part = draft.parts.get(shard.name)
+        if shard.name in st.partition_names or part is None:
+            continue
+        if part.epoch == shard.epoch:
+            _resize(draft, shard.name, part.amount.at_most(_use(shard, team)))
+
+
 def _drop_vanished(
     st: state.State, book: limits.Book, draft: documents.Allowances
 ) -> None:
--- a/tests/core/test_allowances.py
+++ b/tests/core/test_allowances.py
@@ -99,12 +99,11 @@
         made = _deployment(6)
         _batch(made, "d0", 6)
         made.run(3.0)
-        gone = [host for host in made.hosts if host.zone == "z0"]
+        for host in made.hosts:
+            if host.zone == "z0":
+                made.workers[host.worker_id].reachable = False
+        made.run(30.0)
         made.hosts = [host for host in made.hosts if host.zone != "z0"]
-        for host in gone:
-            made.workers[host.worker_id].reachable = False
-            for run in made.workers[host.worker_id].runs.values():
-                run.ended = True
         for name in made.daemons:
             made.post(
                 name, deployments.events.HostsListed(made.now, made.hosts)
