--- a/tests/core/test_allowances.py
+++ b/tests/core/test_allowances.py
@@ -7,7 +7,10 @@
 
 from mimosaridge_core import changes
 from mimosaridge_core import configuration
+from mimosaridge_core import documents
+from mimosaridge_core import events
 from mimosaridge_core import limits
+from mimosaridge_core import messages
 from mimosaridge_core import resources
 from mimosaridge_core import works
 from mimosaridge_fakes import deployments
@@ -125,6 +128,93 @@
         self.assertEqual(4, made.running("a").slots)
 
 
+class SafetyTest(testtools.TestCase):
+    """What an owner may not do yet."""
+
+    def _running_unlimited(self) -> deployments.Deployment:
+        made = _deployment(0)
+        _batch(made, "d0", 12)
+        made.run(3.0)
+        self.assertEqual(12, made.running("a").slots)
+        return made
+
+    def _starts_nothing(self, made: deployments.Deployment, seconds: float):
+        made.on_start = lambda: self.fail("started beyond the limit")
+        _batch(made, "d1", 8)
+        made.run(seconds)
+
+    def test_nothing_starts_before_all_owners_have_counted(self):
+        made = self._running_unlimited()
+        made.pause("d2")
+        made.confirm("d0", changes.SetLimit("a", _slots(12)))
+        self._starts_nothing(made, 3.0)
+
+    def test_nothing_is_counted_before_all_workers_are_known(self):
+        made = self._running_unlimited()
+        for name in ("d0", "d1"):
+            for worker_id in made.workers:
+                if worker_id.startswith("w0"):
+                    made.cut(name, worker_id)
+        made.kill("d2")
+        made.run(9.0)
+        made.confirm("d0", changes.SetLimit("a", _slots(12)))
+        self._starts_nothing(made, 5.0)
+
+    def _book(self, amount: int) -> limits.Book:
+        part = documents.Part(7, 1, _slots(amount))
+        return limits.Book(documents.Allowances(1, {"shard-z0-0": part}))
+
+    def test_a_giver_keeps_to_the_smaller_part_at_once(self):
+        book = self._book(6)
+        book.pending = self._book(2).document
+        part = limits.part_in_force(book, "shard-z0-0", 7, 0)
+        self.assertEqual(_slots(2), part)
+
+    def test_a_taker_waits_until_the_larger_part_is_confirmed(self):
+        book = self._book(2)
+        book.pending = self._book(6).document
+        part = limits.part_in_force(book, "shard-z0-0", 7, 0)
+        self.assertEqual(_slots(2), part)
+
+    def test_a_part_of_an_earlier_epoch_is_not_in_force(self):
+        self.assertIsNone(
+            limits.part_in_force(self._book(6), "shard-z0-0", 8, 0)
+        )
+
+    def test_a_giver_whose_answer_was_lost_keeps_to_the_smaller_part(self):
+        made = _deployment(4)
+        _batch(made, "d0", 4)
+        made.run(3.0)
+        while made.running("a").slots:
+            _end_one(made)
+        made.run(2.0)
+        original = made.store.write
+        lost = []
+
+        def losing(effect, lease, now):
+            if effect.key != "allowances/a":
+                return original(effect, lease, now)
+            lost.append(effect)
+            return events.StoreAnswered(now, effect.op_id, "unknown")
+
+        made.store.write = losing
+        ask = messages.AskAllowance("a", ONE)
+        for name in made.daemons:
+            made.post(name, events.PeerMessage(made.now, "d9", ask))
+        self.assertTrue(made.run_until(lambda: lost, 2.0))
+        document = lost[0].value
+        for _ in range(60):
+            made.run(0.05)
+            for daemon in made.daemons.values():
+                for shard in daemon.shards.values():
+                    part = limits.part_in_force(
+                        daemon.books["a"], shard.name, shard.epoch, 0
+                    )
+                    given = document.parts[shard.name]
+                    if part is not None and given.epoch == shard.epoch:
+                        self.assertTrue(part.fits(given.amount))
+
+
 class LimitMachine(stateful.RuleBasedStateMachine):
     """Owners die, pause and are cut off while the limit changes."""
 
