--- a/packages/core/mimosaridge_core/account.py
+++ b/packages/core/mimosaridge_core/account.py
@@ -26,6 +26,7 @@
     CANCELLATION = "cancellation"
     OWNERSHIP = "ownership"
     CONFIGURATION = "configuration"
+    LIMIT = "limit"
     MEMBERSHIP = "membership"
 
 
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -211,6 +211,8 @@
         return spec.start_before > st.now
     if not spec.idempotent or message.phase == works.Phase.DONE:
         return False
+    if message.outcome.code == codes.Code.OVER_LIMIT:
+        return True
     if spec.kind == works.Kind.REQUEST and message.phase == works.Phase.FAILED:
         return False
     return work.tasks[index].failures + 1 < st.tuning.attempts
@@ -233,7 +235,7 @@
     if message.outcome.code == codes.Code.MOVED:
         spec = work.entry.work
         spec.start_before = max(spec.start_before, st.now + st.tuning.move_s)
-    else:
+    elif message.outcome.code != codes.Code.OVER_LIMIT:
         task.failures += 1
     ceiling = min(
         LONGEST_RETRY_S, dispatching.FIRST_RETRY_S * 2 ** min(task.failures, 8)
--- a/packages/core/mimosaridge_core/reducer.py
+++ b/packages/core/mimosaridge_core/reducer.py
@@ -1,5 +1,6 @@
 """The single door: reduce(state, event) returns effects."""
 
+from mimosaridge_core import allowances
 from mimosaridge_core import archives
 from mimosaridge_core import dispatch
 from mimosaridge_core import dispatching
@@ -24,7 +25,7 @@
 from mimosaridge_core import stopping
 from mimosaridge_core import workerreports
 
-# Importing them registers their handlers; ticks are handled in this order.
+# Importing them registers their handlers; no handler may rely on the order.
 HANDLER_MODULES = (
     membership,
     partitions,
@@ -32,6 +33,7 @@
     placing,
     expiry,
     stopping,
+    allowances,
     rebalancing,
     homes,
     ledgers,
--- a/packages/core/mimosaridge_core/stopping.py
+++ b/packages/core/mimosaridge_core/stopping.py
@@ -75,7 +75,7 @@
     shard.move_at = st.now + 1.0 / st.tuning.moves_per_s
     _, key, worker = min(candidates, key=lambda item: item[:2])
     placed = worker.placed[key]
-    placed.moving = True
+    placed.stop_code = codes.Code.MOVED
     send_stop(st, shard, worker, placed, out)
 
 
--- a/packages/core/mimosaridge_core/workerreports.py
+++ b/packages/core/mimosaridge_core/workerreports.py
@@ -83,7 +83,8 @@
     placed = rooms.give_room(shard, worker, key)
     if not elsewhere and key not in shard.ended:
         shard.queue.remove(key)
-        _ended(st, shard, worker, placed, item.task, item, out)
+        stop_code = placed.stop_code if placed else codes.Code.OK
+        _ended(st, shard, worker, item.task, item, out, stop_code)
 
 
 def _take_running(
@@ -192,7 +193,7 @@
     if placed is None:
         return
     if not placed.stray:
-        _ended(st, shard, worker, placed, placed.task, event, out)
+        _ended(st, shard, worker, placed.task, event, out, placed.stop_code)
     scheduling.schedule(st, shard, out)
 
 
@@ -200,17 +201,16 @@
     st: state.State,
     shard: state.Shard,
     worker: state.Worker,
-    placed: state.Placed | None,
     task: works.Task,
     report: events.HeldTask | events.TaskEnded,
     out: list,
+    stop_code: codes.Code,
 ) -> None:
     if report.ok:
         phase = works.Phase.DONE
         outcome = works.Outcome(codes.Code.OK, "", report.answer)
     else:
         phase = works.Phase.FAILED
-        moved = placed is not None and placed.moving
-        code = codes.Code.MOVED if moved else codes.Code.TASK_FAILED
+        code = stop_code or codes.Code.TASK_FAILED
         outcome = works.Outcome(code, report.detail, report.answer)
     settling.settle(st, shard, task, phase, outcome, worker.host.worker_id, out)
