Hand a drained partition to its heir at once

Cause: a draining daemon named itself as the heir, so that no peer was told and the partition waited for the next check of a settled membership. Ruled out: shorter settling, which would move partitions at each hiccup.

--- a/packages/core/mimosaridge_core/partitions.py
+++ b/packages/core/mimosaridge_core/partitions.py
@@ -153,7 +153,7 @@
             continue
         if st.draining:
             if _holds(st, partition) or _is_mine(st, view):
-                _release(st, partition, owner, out)
+                _release(st, partition, _heir(st, partition), out)
         elif view is None:
             if _holds(st, partition) or owner == st.name and settled:
                 _claim(st, partition, 0, out)
@@ -163,6 +163,12 @@
             _release(st, partition, owner, out)
 
 
+def _heir(st: state.State, partition: str) -> str:
+    """Returns the daemon that takes a partition from this one."""
+    others = tuple(name for name in st.live if name != st.name)
+    return preferred_owner(partition, others)
+
+
 def _is_mine(st: state.State, view: state.View | None) -> bool:
     return view is not None and view.owner == st.name
 
