See the zone and outage checks fail with their rules off

Cause: two checks passed with the mechanism off: peers claimed the workers first, and a refusal counted as an answer. Results: with tenure and freshness off the zone check fails; with refused peers not counted as gone the outage check fails; restored, all 8 pass.

--- a/tests/core/test_tenure.py
+++ b/tests/core/test_tenure.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from mimosaridge_core import codes
 from mimosaridge_core import configuration
 from mimosaridge_core import works
 from mimosaridge_fakes import deployments
@@ -57,6 +58,8 @@
         for other in ("store", *made.daemons):
             if other != owner:
                 made.cut(owner, other)
+                made.cut(other, "w0-0")
+                made.cut(other, "w0-1")
         made.run(2.0)
         config = copy.deepcopy(made.store.items["config"].value)
         config.number += 1
@@ -82,7 +85,7 @@
         made.run(120.0)
         _, handle = made.submit("d0", "a", idempotent=True)
         made.run(2.0)
-        self.assertIn(("d0", handle), made.replies)
+        self.assertEqual(codes.Code.OK, made.replies[("d0", handle)].code)
 
     def test_a_killed_owner_does_not_stop_the_others_in_an_outage(self):
         made = _deployment(zones=4)
@@ -98,7 +101,8 @@
         for _ in range(10):
             _, handle = made.submit(kept, "a", idempotent=True)
             made.run(1.0)
-            replies.append((kept, handle) in made.replies)
+            reply = made.replies.get((kept, handle))
+            replies.append(reply is not None and reply.code == codes.Code.OK)
         self.assertNotIn(False, replies)
 
     def test_a_claim_whose_answer_was_lost_is_held_in_the_end(self):
