Begin a gang's round from one timer only

Cause: every task without a shard set a timer, and every timer began a round of all tasks, so that timers doubled each 0.1 s while no shard took work (store down, daemon alone); the daemon hung. Ruled out: fewer gangs in the test.

--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -180,7 +180,8 @@
         if outcomes.is_unwanted(work, index):
             outcomes.give_up(st, work, index, outcomes.CANCELLED, out)
         elif work.entry.work.kind == works.Kind.GANG:
-            gangs.begin_round(st, work, out)
+            if gangs.leads_round(work, index):
+                gangs.begin_round(st, work, out)
         elif work.entry.work.start_before <= st.now:
             outcomes.give_up(st, work, index, outcomes.TOO_LATE, out)
         else:
--- a/packages/core/mimosaridge_core/gangs.py
+++ b/packages/core/mimosaridge_core/gangs.py
@@ -31,6 +31,16 @@
             dispatching.assign(st, work, index, out)
 
 
+def leads_round(work: state.HomeWork, index: int) -> bool:
+    """Tells whether a task's timer begins the round of all waiting tasks.
+
+    A round sets a timer for each task without a shard; were each to begin a
+    round, their number would grow without end.
+    """
+    waiting = (i for i in work.unsettled if not _is_out(work, i))
+    return index == min(waiting, default=-1)
+
+
 def start(st: state.State, work: state.HomeWork, out: list) -> None:
     """Starts the tasks once all of them are held."""
     if any(task.phase != works.Phase.HELD for task in work.tasks):
