--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -179,8 +179,7 @@
         else:
             assign(st, work, index, out)
     elif task.phase in (works.Phase.PLACING, works.Phase.HELD):
-        if task.sent:
-            send_task(st, work, index, out)
+        send_task(st, work, index, out)
     elif task.phase == works.Phase.RUNNING:
         _follow_owner(st, work, index, out)
     if outcomes.is_unwanted(work, index) and index in work.unsettled:
--- /dev/null
+++ b/tests/scenarios/once.feature
@@ -0,0 +1,40 @@
+Feature: A non-idempotent request runs at most once
+  Callers retry under the same id, through any daemon, while things fail.
+
+  Scenario: The daemon that callers spoke to is killed
+    Given a queensland deployment with 3 daemons
+    And a team tontine with a key
+    When team tontine sends 12 payouts to daemon-0 and it is killed meanwhile
+    And every payout is sent again to daemon-1 and daemon-2 at once
+    Then every payout is answered whole and ran once
+    And a payout that was not run never ran
+
+  Scenario: The store loses answers that took effect
+    Given a queensland deployment with 3 daemons
+    And a team tontine with a key
+    When the store loses the next 10 answers to ledger writes
+    And team tontine sends 12 payouts to every daemon
+    Then every payout is answered whole and ran once
+
+  Scenario: The store is down past the deadline
+    Given a queensland deployment with 3 daemons
+    And a team tontine with a key
+    When the store goes down for 5 seconds
+    And team tontine sends 6 payouts to every daemon with 2 seconds to start
+    Then no payout ran more than once
+    And a payout that was not run never ran
+    And every payout has an outcome
+
+  Scenario: A daemon is paused until its partitions have other owners
+    Given a queensland deployment with 3 daemons
+    And a team tontine with a key
+    When daemon-1 is paused for 9 seconds while tontine sends 12 payouts
+    And every payout is sent again to daemon-1 and daemon-2 at once
+    Then every payout is answered whole and ran once
+
+  Scenario: Open connections to workers go silent
+    Given a queensland deployment with 3 daemons
+    And a team tontine with a key
+    When open connections to all workers go silent
+    And team tontine sends 4 payouts of 3000000 bytes to every daemon
+    Then every payout is answered whole and ran once
