--- a/packages/core/mimosaridge_core/ledgers.py
+++ b/packages/core/mimosaridge_core/ledgers.py
@@ -261,7 +261,8 @@
         work = st.works.get(work_id)
         if work is not None:
             work.recorded = True
-            _announce(st, bucket, work, out)
+            if work.entry.outcome is None:
+                _announce(st, bucket, work, out)
     for work_id in operation.settled:
         work = st.works.get(work_id)
         if work is not None:
