--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -2,13 +2,17 @@
 
 import dataclasses
 
+from mimosaridge_core import account
 from mimosaridge_core import configuration
+from mimosaridge_core import resources
 from mimosaridge_core import works
 
 CONFIG_KEY = "config"
 DAEMONS = "daemons/"
 PARTITIONS = "partitions/"
 LEDGERS = "ledgers/"
+ACCOUNTS = "accounts/"
+ALLOWANCES = "allowances/"
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +70,7 @@
         outcome: The outcome of the whole, once settled.
         settled_at: When it was settled, seconds since the epoch.
         cancelled: Whether its team or an operator cancelled it.
+        archived: Whether its account is in the store.
     """
 
     work: works.Work
@@ -73,6 +78,7 @@
     outcome: works.Outcome | None = None
     settled_at: float = 0.0
     cancelled: bool = False
+    archived: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,11 +96,52 @@
     entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class Page:
+    """Accounts of settled work of one bucket, by the minute of their ids.
+
+    Attributes:
+        stories: Accounts by work id.
+    """
+
+    stories: dict[str, account.Story] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Part:
+    """A shard's part of a team's upper limit.
+
+    Attributes:
+        epoch: Epoch of the shard's owner that may use it.
+        number: Configuration under which the shard's use was counted.
+        amount: The most that the shard may run for the team.
+    """
+
+    epoch: int
+    number: int
+    amount: resources.Resources
+
+
+@dataclasses.dataclass(slots=True)
+class Allowances:
+    """How a team's upper limit is divided among the shards.
+
+    Attributes:
+        number: Latest configuration under which it was written.
+        parts: Parts by shard.
+    """
+
+    number: int = 0
+    parts: dict[str, Part] = dataclasses.field(default_factory=dict)
+
+
 KINDS: dict[str, type] = {
     CONFIG_KEY: configuration.Config,
     DAEMONS: Daemon,
     PARTITIONS: Ownership,
     LEDGERS: Ledger,
+    ACCOUNTS: Page,
+    ALLOWANCES: Allowances,
 }
 
 
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -10,6 +10,7 @@
 from mimosaridge_core import documents
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import limits
 from mimosaridge_core import messages
 from mimosaridge_core import placement
 from mimosaridge_core import queueing
@@ -69,12 +70,14 @@
         phase: HELD, PLACING (start sent) or RUNNING.
         hold_until: Deadline of a hold, seconds since the epoch.
         stopping: Whether its stop was sent.
+        stop_code: Why this daemon stops it; OK if its home asked.
     """
 
     task: works.Task
     phase: works.Phase
     hold_until: float = 0.0
     stopping: bool = False
+    stop_code: codes.Code = codes.Code.OK
 
 
 TaskKey = tuple[str, int]
@@ -213,6 +216,7 @@
         outcome_recorded: Whether the store has its outcome.
         whole: Outcome with its whole answer, which may be too large for the
             ledger; forgotten with this daemon.
+        lines: What owners decided about its tasks.
     """
 
     entry: documents.Entry
@@ -223,6 +227,7 @@
     recorded: bool = False
     outcome_recorded: bool = False
     whole: works.Outcome | None = None
+    lines: list[account.Line] = dataclasses.field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Counts every task as unsettled until its end is applied."""
@@ -249,6 +254,10 @@
         unsent: Tasks to be sent once the ledger is written.
         untaken: Updates to be confirmed once the ledger is written.
         releasing: Whether it is being given up.
+        stories: Accounts that the store does not have yet, by page.
+        archiving: Page that is being read or written; 0 for none.
+        archive_at: Earliest time of the next page.
+        retire_at: When the oldest page is deleted next.
     """
 
     name: str
@@ -270,6 +279,12 @@
         default_factory=list
     )
     releasing: bool = False
+    stories: dict[int, dict[str, account.Story]] = dataclasses.field(
+        default_factory=dict
+    )
+    archiving: int = 0
+    archive_at: float = 0.0
+    retire_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -353,6 +368,7 @@
     live: tuple[str, ...] = ()
     live_since: float = 0.0
     heartbeat_at: float = 0.0
+    teams_at: float = 0.0
     partitions_at: float = 0.0
     hosts: dict[str, events.Host] = dataclasses.field(default_factory=dict)
     fleet: resources.Resources = resources.ZERO
@@ -361,6 +377,9 @@
     released: dict[str, int] = dataclasses.field(default_factory=dict)
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
+    books: dict[str, limits.Book] = dataclasses.field(default_factory=dict)
+    store_calls: float = 0.0
+    store_calls_at: float = 0.0
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
     sent_room: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -9,6 +9,7 @@
 
     Attributes:
         heartbeat_s: Between heartbeats to each peer.
+        teams_s: Between heartbeats that tell what teams use.
         member_timeout_s: Silence after which a peer counts as gone.
         store_lease_s: Life of the daemon's lease in the store.
         settle_s: How long membership must stand before partitions move.
@@ -20,6 +21,8 @@
         lease_margin_s: Added before a lease counts as surely ended.
         flush_s: Least time between two writes of one ledger.
         retention_s: How long outcomes are kept.
+        archive_s: Least time between two pages that one bucket archives.
+        account_s: How long accounts of settled work are kept.
         answer_s: How long whole answers are kept that no ledger holds.
         proof_s: After its deadline, how long a caller is kept waiting for
             proof of what became of its work.
@@ -34,6 +37,7 @@
     """
 
     heartbeat_s: float = 0.5
+    teams_s: float = 2.0
     member_timeout_s: float = 2.5
     store_lease_s: float = 6.0
     settle_s: float = 1.0
@@ -44,6 +48,8 @@
     lease_margin_s: float = 2.0
     flush_s: float = 0.03
     retention_s: float = 600.0
+    archive_s: float = 2.0
+    account_s: float = 7 * 86_400.0
     answer_s: float = 60.0
     proof_s: float = 10.0
     skew_s: float = 1.0
