--- a/packages/daemon/mimosaridge_daemon/engine.py
+++ b/packages/daemon/mimosaridge_daemon/engine.py
@@ -10,6 +10,7 @@
 from gevent import queue
 import logbook
 
+from mimosaridge_core import account
 from mimosaridge_core import effects
 from mimosaridge_core import events
 from mimosaridge_core import reducer
@@ -137,4 +138,6 @@
 
     def _record(self, effect: effects.Record) -> None:
         self.metrics.count(f"decision.{effect.record.rule}")
+        if effect.record.rule == account.Rule.SETTLED:
+            self.metrics.count(f"outcome.{effect.record.code.name.lower()}")
         logs.write_decision(effect.record)
