Let clocks differ in the test of at most once, and count ledger bytes right

Cause: the estimate of a ledger's size drifted, for answers were added once and taken off twice. A settled entry now sheds its body and keeps its answer once. In tests/core/test_once.py the daemons' clocks now differ by skew_s.

--- a/packages/core/mimosaridge_core/ledgers.py
+++ b/packages/core/mimosaridge_core/ledgers.py
@@ -17,8 +17,8 @@
 from mimosaridge_core import works
 
 REFUSALS_BYTES = 100_000
-ENTRY_BYTES = 600
-ASSIGNMENT_BYTES = 150
+ENTRY_BYTES = 700
+ASSIGNMENT_BYTES = 160
 ENCODED_BYTES_PER_BYTE = 4 / 3
 
 
@@ -63,10 +63,10 @@
 
 def size_of(entry: documents.Entry) -> int:
     """Estimates the bytes that an entry takes in the store."""
-    answers = [item.outcome for item in entry.assignments]
+    ran = [item.ran for item in entry.assignments]
     kept = sum(
         len(outcome.answer)
-        for outcome in (*answers, entry.outcome)
+        for outcome in (*ran, entry.outcome)
         if outcome is not None
     )
     return size_of_work(entry.work) + int(kept * ENCODED_BYTES_PER_BYTE)
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -1,5 +1,7 @@
 """What became of tasks, and of the work that they belong to."""
 
+import dataclasses
+
 from mimosaridge_core import account
 from mimosaridge_core import archives
 from mimosaridge_core import buckets
@@ -189,7 +191,7 @@
         elif not codes.is_not_run(outcome.code):
             outcome = works.Outcome(codes.Code.NOT_RUN, outcome.detail)
     work.tasks[index].phase = final_phase(outcome.code)
-    assignment.outcome = _kept(outcome)
+    assignment.outcome = works.Outcome(outcome.code, outcome.detail)
     work.unsettled.discard(index)
     return outcome
 
@@ -225,7 +227,7 @@
 ) -> None:
     task = work.tasks[index]
     if message.phase != works.Phase.NOT_RUN:
-        work.entry.assignments[index].ran = message.outcome
+        work.entry.assignments[index].ran = _kept(message.outcome)
     task.phase = works.Phase.PENDING
     if _was_moved(work, message):
         dispatching.assign(st, work, index, out)
@@ -322,6 +324,7 @@
 ) -> None:
     """Settles work and tells the daemons whose callers wait for it."""
     entry = work.entry
+    before = ledgers.size_of(entry)
     entry.outcome = _kept(outcome)
     entry.settled_at = st.now
     work_id = entry.work.work_id
@@ -334,7 +337,9 @@
     if bucket is None:
         del st.works[work_id]
         return
-    bucket.size_bytes += len(entry.outcome.answer)
+    bucket.size_bytes -= before
+    entry.work = dataclasses.replace(entry.work, body=b"")
+    bucket.size_bytes += ledgers.size_of(entry)
     bucket.settled.append(work_id)
     bucket.dirty = True
     dispatching.set_timer(st, st.now + st.tuning.answer_s, work, -1)
--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -75,6 +75,7 @@
             their answers are lost.
         late_messages: This many peer messages are late by `late_s`.
         late_s: How late, in seconds.
+        skews: How far each daemon's clock is ahead, in seconds.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         self.late_writes = 0
         self.late_messages = 0
         self.late_s = 0.0
+        self.skews: dict[str, float] = {}
         self.agenda: list[tuple[float, int, str, Any]] = []
         self.waiting: dict[str, list[events.Event]] = {}
         self.seen: dict[str, int] = {}
@@ -148,7 +150,7 @@
         """Hands a paused daemon all that waited, in order."""
         self.paused.discard(name)
         for event in self.waiting.pop(name, []):
-            event.now = self.now
+            event.now = self.now + self.skews.get(name, 0.0)
             self._reduce(name, event)
 
     def cut(self, one: str, other: str) -> None:
@@ -230,7 +232,7 @@
             if not isinstance(event, events.Tick):
                 self.waiting.setdefault(name, []).append(event)
             return
-        event.now = self.now
+        event.now = self.now + self.skews.get(name, 0.0)
         self._reduce(name, event)
 
     def _reduce(self, name: str, event: events.Event) -> None:
--- a/tests/core/test_once.py
+++ b/tests/core/test_once.py
@@ -119,6 +119,8 @@
         config = deployments.team_config([configuration.Team("a", "north")])
         self.made = Faulty(fleets.small(per_zone=1), config)
         assert self.made.run_until(self.made.ready, 10.0)
+        half = self.made.tuning.skew_s / 2
+        self.made.skews = {"d0": half, "d2": -half}
         self.made.run_s = lambda task: 0.3
         self.calls = {}
         self.ids = []
