Try jobs whose home dies, half-sent bodies and lagging clocks

Before, one run of the scenario with the paused daemon failed by BAD_KEY: its caller was quicker than the key's grant was in force at the other daemons; the steps now wait for the configuration everywhere.

--- a/tests/core/test_homes.py
+++ b/tests/core/test_homes.py
@@ -263,6 +263,18 @@
         kept = [d for d in made.daemons.values() if work_id in d.works]
         self.assertEqual([], kept)
 
+    def test_a_clock_that_lags_forgets_no_outcome_too_early(self):
+        tuning = tunables.Tunables(retention_s=5.0)
+        made = _deployment(tuning=tuning)
+        made.skews = dict.fromkeys(made.daemons, -0.9)
+        made.run(2.0)
+        work_id, _ = made.submit("d0", "a", idempotent=False)
+        for number in range(150):
+            made.run(0.1)
+            name = f"d{number % 3}"
+            made.submit(name, "a", work_id=work_id, idempotent=False)
+        self.assertEqual(1, _starts(made, work_id))
+
     def test_an_end_that_no_home_took_outlives_the_retention(self):
         tuning = tunables.Tunables(retention_s=20.0)
         made = _deployment(tuning=tuning)
--- a/tests/scenarios/once.feature
+++ b/tests/scenarios/once.feature
@@ -38,3 +38,19 @@
     When open connections to all workers go silent
     And team tontine sends 4 payouts of 3000000 bytes to every daemon
     Then every payout is answered whole and ran once
+
+  Scenario: A job's home is killed half-way
+    Given a queensland deployment with 3 daemons
+    And a team tontine with a key
+    When team tontine submits 6 jobs of 4 tasks that take 2 seconds each
+    And each job has ended in part when daemon-2 is killed
+    Then every job is done within 25 seconds
+    And no task of a job was started twice
+
+  Scenario: A caller breaks off within its request
+    Given a queensland deployment with 1 daemons
+    And a team tontine with a key
+    When 20 callers send half of a payout and hang up
+    And team tontine sends 4 payouts to every daemon
+    Then every payout is answered whole and ran once
+    And nothing else ran
--- a/tests/scenarios/test_once.py
+++ b/tests/scenarios/test_once.py
@@ -3,6 +3,7 @@
 import base64
 import collections
 import json
+import socket
 import threading
 import time
 
@@ -26,6 +27,19 @@
         self.bodies = {}
         self.answers = collections.defaultdict(list)
         self.threads = []
+        self._await_keys()
+
+    def _await_keys(self) -> None:
+        """Waits until the configuration is in force at every live daemon."""
+        deadline = time.time() + LONGEST_WAIT_S
+        deployment = self.scene.deployment
+        while time.time() < deadline:
+            states = [deployment.status(name) for name in deployment.addresses]
+            numbers = {state["config_number"] for state in states if state}
+            if len(numbers) == 1:
+                return
+            time.sleep(0.05)
+        raise TimeoutError("the configuration is not in force everywhere")
 
     def send(self, daemon: str, work_id: str = "", **task) -> None:
         """Sends a payout, or one again, without waiting for its answer."""
@@ -210,3 +224,93 @@
 @pytest_bdd.then("every payout has an outcome")
 def _outcome(payouts):
     assert all(payouts.answers[work_id] for work_id in payouts.bodies)
+
+
+@pytest_bdd.when(
+    parsers.parse(
+        "team {team} submits {count:d} jobs of {tasks:d} tasks that take"
+        " {seconds:d} seconds each"
+    ),
+    target_fixture="jobs",
+)
+def _jobs(scene, team, count, tasks, seconds):
+    answers = [
+        scene.submit(
+            team,
+            "daemon-0",
+            kind="batch",
+            count=tasks,
+            needs={"slots": 8, "cpu_millis": 1000},
+            start_before=time.time() + 120.0,
+            task={"run_s": seconds},
+        )
+        for _ in range(count)
+    ]
+    assert {answer["name"] for answer in answers} == {"ACCEPTED"}, answers
+    return [answer["work_id"] for answer in answers]
+
+
+@pytest_bdd.when("each job has ended in part when daemon-2 is killed")
+def _kill_home(scene):
+    time.sleep(2.5)
+    scene.deployment.kill("daemon-2")
+
+
+@pytest_bdd.then(parsers.parse("every job is done within {seconds:d} seconds"))
+def _jobs_done(scene, jobs, seconds):
+    deadline = time.time() + seconds
+    for work_id in jobs:
+        while not _is_done(scene, work_id):
+            assert time.time() < deadline, scene.explained(work_id)
+            time.sleep(0.3)
+
+
+def _is_done(scene, work_id):
+    answer = scene.submit(
+        "tontine",
+        "daemon-1",
+        work_id=work_id,
+        kind="request",
+        idempotent=False,
+        start_before=time.time() + 1.0,
+    )
+    return answer["name"] == "OK"
+
+
+@pytest_bdd.then("no task of a job was started twice")
+def _once_each(scene, jobs):
+    url = scene.deployment.workers_url + "/state"
+    workers = deployments.fetch("GET", url)["workers"].values()
+    starts = collections.Counter(
+        task_id for worker in workers for _, task_id, _ in worker["starts"]
+    )
+    assert set(starts.values()) == {1}, starts
+    assert len(starts) == 4 * len(jobs)
+
+
+@pytest_bdd.when(
+    parsers.parse("{count:d} callers send half of a payout and hang up")
+)
+def _half_sent(scene, count):
+    host, _, port = scene.deployment.addresses["daemon-0"][0].partition(":")
+    body = json.dumps(
+        {
+            "work_id": str(uuid6.uuid7()),
+            "team": "tontine",
+            "idempotent": False,
+            "start_before": time.time() + 20.0,
+        }
+    )
+    for number in range(count):
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(
+                b"POST /v1/work HTTP/1.1\r\nHost: x\r\n"
+                b"Authorization: Bearer k-tontine.secret\r\n"
+                + f"Content-Length: {len(body) + 1}\r\n\r\n".encode()
+                + body[: len(body) - number].encode()
+            )
+
+
+@pytest_bdd.then("nothing else ran")
+def _nothing_else(payouts):
+    assert set(payouts.runs()) == set(payouts.bodies)
