Tell no job that ran in part that it was not run

Cause, seen by test_a_job_that_ran_in_part_is_not_told_to_be_not_run: the outcome of a job was that of its first task that did not end well, so a job with one cancelled and one finished task was CANCELLED, which promises that it never ran.

--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -268,7 +268,11 @@
         text = f"All {len(outcomes)} tasks ended well."
         return works.Outcome(codes.Code.OK, text)
     text = f"{len(bad)} of {len(outcomes)} tasks did not: {bad[0].detail}"
-    return works.Outcome(bad[0].code, text)
+    code = bad[0].code
+    if not all(codes.is_not_run(item.code) for item in outcomes):
+        code = max(item.code for item in bad)
+        code = codes.Code.TASK_FAILED if codes.is_not_run(code) else code
+    return works.Outcome(code, text)
 
 
 def give_up(
--- a/tests/core/test_homes.py
+++ b/tests/core/test_homes.py
@@ -9,10 +9,12 @@
 from mimosaridge_core import buckets
 from mimosaridge_core import codes
 from mimosaridge_core import configuration
+from mimosaridge_core import documents
 from mimosaridge_core import effects
 from mimosaridge_core import events
 from mimosaridge_core import ledgers
 from mimosaridge_core import messages
+from mimosaridge_core import outcomes
 from mimosaridge_core import reducer
 from mimosaridge_core import resources
 from mimosaridge_core import state
@@ -269,7 +271,7 @@
         made = _deployment(tuning=tuning)
         made.skews = dict.fromkeys(made.daemons, -0.9)
         made.run(2.0)
-        work_id, _ = made.submit("d0", "a", idempotent=False)
+        work_id, _ = made.submit("d0", "a", idempotent=False, within_s=1.0)
         for number in range(150):
             made.run(0.1)
             name = f"d{number % 3}"
@@ -279,11 +281,12 @@
     def test_an_end_that_no_home_took_outlives_the_retention(self):
         tuning = tunables.Tunables(retention_s=20.0)
         made = _deployment(tuning=tuning)
+        made.run_s = lambda task: 0.5
         calls = {}
-        for _ in range(12):
+        for _ in range(22):
             work_id, handle = made.submit("d0", "a", idempotent=False)
             calls[("d0", handle)] = work_id
-        made.run(0.04)
+        made.run(0.3)
         for one, other in itertools.combinations(made.daemons, 2):
             made.cut(one, other)
         made.run(60.0)
@@ -293,6 +296,32 @@
             self.assertEqual(1, _starts(made, work_id))
             self.assertFalse(codes.is_not_run(made.replies[call].code))
 
+    def test_a_job_that_ran_in_part_is_not_told_to_be_not_run(self):
+        ended = [codes.Code.CANCELLED, codes.Code.OK]
+        assignments = [
+            documents.Assignment(1, "s", works.Outcome(code)) for code in ended
+        ]
+        work = state.HomeWork(
+            documents.Entry(None, assignments),
+            "bucket-00",
+            [state.TaskState() for _ in ended],
+        )
+        whole = outcomes.whole_outcome(work, works.Outcome(ended[-1]))
+        self.assertEqual(codes.Code.TASK_FAILED, whole.code)
+
+    def test_a_job_that_is_cancelled_while_it_runs_has_run(self):
+        made = _deployment()
+        made.run_s = lambda task: None
+        work_id, _ = made.submit(
+            "d0", "a", kind=works.Kind.BATCH, count=40, within_s=500.0
+        )
+        made.run(3.0)
+        made.cancel("d0", "a", work_id)
+        made.run(10.0)
+        self.assertGreater(_starts(made, work_id), 0)
+        entry = made.daemons[_home(made, work_id)].works[work_id].entry
+        self.assertEqual(codes.Code.TASK_FAILED, entry.outcome.code)
+
     def test_a_wave_of_cancellations_ends_all_that_waits(self):
         made = _deployment()
         made.run_s = lambda task: None
