Let an idempotent request run again through another daemon

The owner had the first home's attempt as ended and forgotten, took the second's for the same and kept silent until the deadline; a third call was then too late. Before: test_an_idempotent_request_runs_again_for_another_daemon fails, no reply. After: it passes; tests/core, tests/daemon, tests/test_style.py pass. Not mended: for idempotent requests a late NOT_RUN is true of the call and not of the id; docs/INVARIANTS.md says so.

--- a/packages/core/mimosaridge_core/homes.py
+++ b/packages/core/mimosaridge_core/homes.py
@@ -21,6 +21,8 @@
 from mimosaridge_core import workids
 from mimosaridge_core import works
 
+ATTEMPT_BITS = 30
+
 
 def accept(st: state.State, work: works.Work, origin: str, out: list) -> None:
     """Takes work, or tells the origin how work of this id stands."""
@@ -75,9 +77,15 @@
     """Returns the assignment of a task that was never sent.
 
     A service may return under the name of one that was forgotten, whose
-    attempts had numbers of their own; the clock keeps the new ones higher.
+    attempts had numbers of their own; the clock keeps the new ones higher. An
+    idempotent request may have a home at each daemon; a random number keeps
+    their attempts apart.
     """
-    attempt = int(st.now) if work.kind == works.Kind.SERVICE else 0
+    attempt = 0
+    if work.kind == works.Kind.SERVICE:
+        attempt = int(st.now)
+    elif buckets.home_of(st, work) == st.name:
+        attempt = st.rng.getrandbits(ATTEMPT_BITS)
     return documents.Assignment(attempt)
 
 
--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -1,5 +1,6 @@
 """What homes ask of the owner of a shard."""
 
+from mimosaridge_core import buckets
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import effects
@@ -143,6 +144,7 @@
         return
     ended = shard.ended.pop((message.task_id, message.attempt), None)
     if ended is not None:
-        until = ended.start_before + st.tuning.skew_s
-        shard.taken.add(message.task_id, message.attempt, until)
+        if ended.home.startswith(buckets.PREFIX):
+            until = ended.start_before + st.tuning.skew_s
+            shard.taken.add(message.task_id, message.attempt, until)
         settling.forget(shard, ended, out)
--- a/tests/core/test_homes.py
+++ b/tests/core/test_homes.py
@@ -40,11 +40,11 @@
         ]
 
 
-def _deployment(**options) -> Tapped:
+def _deployment(hosts=None, **options) -> Tapped:
     config = deployments.team_config(
         [configuration.Team("a", "north"), configuration.Team("b", "south")]
     )
-    made = Tapped(fleets.small(), config, **options)
+    made = Tapped(hosts or fleets.small(), config, **options)
     assert made.run_until(made.ready, 10.0)
     return made
 
@@ -165,6 +165,15 @@
         made.run(3.0)
         self.assertEqual(1, _starts(made, work_id))
 
+    def test_an_idempotent_request_runs_again_for_another_daemon(self):
+        made = _deployment(hosts=fleets.small(zones=1, per_zone=1))
+        work_id, _ = made.submit("d0", "a", idempotent=True)
+        made.run(2.0)
+        _, handle = made.submit("d1", "a", work_id=work_id, idempotent=True)
+        made.run(3.0)
+        reply = made.replies[("d1", handle)]
+        self.assertEqual(codes.Code.OK, reply.code)
+
     def test_a_new_owner_is_asked_once_the_ledger_names_it(self):
         made = _deployment()
         made.run_s = lambda task: None
