--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -187,8 +187,7 @@
         else:
             assign(st, work, index, out)
     elif task.phase in (works.Phase.PLACING, works.Phase.HELD):
-        if task.sent:
-            send_task(st, work, index, out)
+        send_task(st, work, index, out)
     elif task.phase == works.Phase.RUNNING:
         _follow_owner(st, work, index, out)
     unwanted = outcomes.is_unwanted(work, index) or work.round_over
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -1,5 +1,7 @@
 """What became of tasks, and of the work that they belong to."""
 
+import dataclasses
+
 from mimosaridge_core import account
 from mimosaridge_core import archives
 from mimosaridge_core import buckets
@@ -172,7 +174,7 @@
         elif not codes.is_not_run(outcome.code):
             outcome = works.Outcome(codes.Code.NOT_RUN, outcome.detail)
     work.tasks[index].phase = final_phase(outcome.code)
-    assignment.outcome = _kept(outcome)
+    assignment.outcome = works.Outcome(outcome.code, outcome.detail)
     work.unsettled.discard(index)
     return outcome
 
@@ -211,7 +213,7 @@
     task = work.tasks[index]
     own_stop = message.outcome.code in OWN_STOPS
     if message.phase != works.Phase.NOT_RUN:
-        work.entry.assignments[index].ran = message.outcome
+        work.entry.assignments[index].ran = _kept(message.outcome)
         task.failures += not own_stop
     task.phase = works.Phase.PENDING
     if _was_moved(work, message):
@@ -272,7 +274,11 @@
         text = f"All {len(outcomes)} tasks ended well."
         return works.Outcome(codes.Code.OK, text)
     text = f"{len(bad)} of {len(outcomes)} tasks did not: {bad[0].detail}"
-    return works.Outcome(bad[0].code, text)
+    code = bad[0].code
+    if not all(codes.is_not_run(item.code) for item in outcomes):
+        code = max(item.code for item in bad)
+        code = codes.Code.TASK_FAILED if codes.is_not_run(code) else code
+    return works.Outcome(code, text)
 
 
 def give_up(
@@ -302,6 +308,7 @@
 ) -> None:
     """Settles work and tells the daemons whose callers wait for it."""
     entry = work.entry
+    before = ledgers.size_of(entry)
     entry.outcome = _kept(outcome)
     entry.settled_at = st.now
     work_id = entry.work.work_id
@@ -314,7 +321,9 @@
     if bucket is None:
         del st.works[work_id]
         return
-    bucket.size_bytes += len(entry.outcome.answer)
+    bucket.size_bytes -= before
+    entry.work = dataclasses.replace(entry.work, body=b"")
+    bucket.size_bytes += ledgers.size_of(entry)
     bucket.settled.append(work_id)
     bucket.dirty = True
     dispatching.set_timer(st, st.now + st.tuning.answer_s, work, -1)
