Refuse absurd changes and outlive effects that fail

Cause: a change could carry a share that is no number, limits and needs below zero, or a thousand million replicas; a plan's deadline that is no number never passed. An effect that could not be carried out ended the engine's loop, and with it the daemon. Ruled out: checks in each change; they would stand many times. Change: all arguments of a change are checked at the border; the engine logs and counts an effect that fails and goes on. Tests: tests/daemon/test_bad_input.py: malformed, misshapen, oversized, deeply nested and non-UTF-8 bodies, absurd amounts and lengths.

--- a/packages/daemon/mimosaridge_daemon/engine.py
+++ b/packages/daemon/mimosaridge_daemon/engine.py
@@ -121,7 +121,15 @@
             self.metrics.count("reducer.failed")
             return
         for effect in produced:
+            self._carry(effect)
+
+    def _carry(self, effect: Any) -> None:
+        """Carries out an effect; one that can't be leaves the others alone."""
+        try:
             self.carriers[type(effect)](effect)
+        except Exception:
+            LOG.exception("{} failed", type(effect).__name__)
+            self.metrics.count("effect.failed")
 
     def _reply(self, effect: effects.Reply) -> None:
         answer = self.calls.get(effect.handle)
--- a/packages/daemon/mimosaridge_daemon/schemas.py
+++ b/packages/daemon/mimosaridge_daemon/schemas.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+import re
 from typing import Annotated
 from typing import Any
 import uuid
@@ -17,6 +18,7 @@
 MOST_TASKS = 10_000
 MOST_HISTORY_ROWS = 1_000
 LONGEST_WAIT_S = 30 * 86_400.0
+ARGUMENT = re.compile(r"([A-Za-z0-9][A-Za-z0-9._-]{0,127})?")
 
 Amount = Annotated[int, pydantic.Field(ge=0, le=LARGEST_AMOUNT)]
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
@@ -28,7 +30,7 @@
 class Strict(pydantic.BaseModel):
     """Base of all schemas: unknown fields are refused."""
 
-    model_config = pydantic.ConfigDict(extra="forbid")
+    model_config = pydantic.ConfigDict(extra="forbid", allow_inf_nan=False)
 
 
 class Needs(Strict):
@@ -123,7 +125,30 @@
         unknown = sorted(set(self.arguments) - allowed)
         if unknown:
             raise ValueError(f"arguments: unknown {', '.join(unknown)}")
-        return codec.adapter(kind).validate_python(self.arguments)
+        change = codec.adapter(kind).validate_python(self.arguments)
+        fields = dataclasses.fields(kind)
+        if getattr(change, fields[0].name) == "":
+            raise ValueError(f"{fields[0].name}: must not be empty")
+        for field in fields:
+            _check(field.name, getattr(change, field.name))
+        return change
+
+
+def _check(name: str, value: Any) -> None:
+    """Refuses an argument of a change that no configuration should hold.
+
+    Raises:
+        ValueError: It is no name, or an amount out of bounds.
+    """
+    if isinstance(value, str) and not ARGUMENT.fullmatch(value):
+        raise ValueError(f"{name}: use up to 128 letters, digits, . _ and -")
+    if isinstance(value, (int, float)) and not 0 <= value <= LARGEST_AMOUNT:
+        raise ValueError(f"{name}: must lie between 0 and {LARGEST_AMOUNT}")
+    if name == "replicas" and value > MOST_TASKS:
+        raise ValueError(f"{name}: at most {MOST_TASKS} are kept")
+    if dataclasses.is_dataclass(value):
+        for field in dataclasses.fields(value):
+            _check(f"{name}.{field.name}", getattr(value, field.name))
 
 
 class Confirmation(Strict):
--- /dev/null
+++ b/tests/daemon/test_bad_input.py
@@ -0,0 +1,175 @@
+"""Whatever is sent to a daemon gets a numbered code and ends no process."""
+
+import io
+import json
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from mimosaridge_core import changes
+from mimosaridge_core import codes
+from mimosaridge_core import effects
+from mimosaridge_daemon import api
+from mimosaridge_daemon import engine as engines
+
+LARGEST_BODY = 10_000
+PATHS = ("/v1/work", "/v1/plans", "/v1/confirmations")
+GOOD = {
+    "work_id": "01890000-0000-7000-8000-000000000000",
+    "team": "a",
+    "start_before": 1e9,
+}
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner)
+        | strategies.dictionaries(strategies.text(), inner)
+    ),
+    max_leaves=20,
+)
+ARGUMENTS = sorted(
+    {name for kind in changes.REGISTRY.values() for name in kind.__slots__}
+)
+
+
+class Engine:
+    """Takes the place of the engine: all that reaches it is fine."""
+
+    def __init__(self):
+        self.events = []
+
+    def call(self, make, timeout_s):
+        self.events.append(make(0.0, 1))
+        return effects.Reply(1, codes.Code.OK)
+
+
+class ApiTest(testtools.TestCase):
+    """The HTTP interface."""
+
+    def setUp(self):
+        super().setUp()
+        self.engine = Engine()
+        self.app = api.Api(self.engine, LARGEST_BODY).app
+
+    def _post(self, path, body, **more):
+        environment = {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": path,
+            "SERVER_NAME": "127.0.0.1",
+            "SERVER_PORT": "80",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+            "wsgi.errors": io.StringIO(),
+            "wsgi.url_scheme": "http",
+        }
+        statuses = []
+        answer = self.app(
+            environment | more, lambda status, *_: statuses.append(status)
+        )
+        content = json.loads(b"".join(answer))
+        self.assertIn(content["code"], list(codes.Code))
+        self.assertNotEqual("", content["detail"])
+        return statuses[0].partition(" ")[0], content["name"]
+
+    @hypothesis.given(strategies.sampled_from(PATHS), strategies.binary())
+    def test_bytes_that_are_no_json_are_bad_input(self, path, body):
+        self.assertEqual(("400", "BAD_INPUT"), self._post(path, body))
+
+    @hypothesis.given(strategies.sampled_from(PATHS), JSON)
+    def test_json_of_another_shape_is_bad_input(self, path, content):
+        body = json.dumps(content).encode()[:LARGEST_BODY]
+        self.assertEqual(("400", "BAD_INPUT"), self._post(path, body))
+
+    @hypothesis.given(
+        strategies.sampled_from(
+            ("count", "urgency", "start_before", "declared_run_s", "needs")
+        ),
+        strategies.sampled_from((-1, -1e30, 10**30, float("nan"), 1e999, "x")),
+    )
+    def test_absurd_sizes_are_bad_input(self, name, value):
+        body = json.dumps(GOOD | {name: value}).encode()
+        self.assertEqual(("400", "BAD_INPUT"), self._post("/v1/work", body))
+
+    @hypothesis.given(
+        strategies.sampled_from(sorted(changes.REGISTRY)),
+        strategies.dictionaries(
+            strategies.sampled_from(ARGUMENTS),
+            strategies.sampled_from(
+                (-1, 10**30, float("nan"), 1e999, "", "a b", "x" * 200, "/")
+            ),
+            max_size=5,
+        ),
+    )
+    def test_a_change_with_absurd_arguments_is_bad_input(self, name, arguments):
+        intent = {"change": name, "arguments": arguments}
+        body = json.dumps(intent).encode()
+        self.assertEqual(("400", "BAD_INPUT"), self._post("/v1/plans", body))
+
+    def test_a_service_that_needs_less_than_nothing_is_bad_input(self):
+        arguments = {
+            "service": "s",
+            "team": "a",
+            "replicas": 1,
+            "needs": {"cpu_millis": -1},
+        }
+        for more in ({}, {"needs": {}, "replicas": 10**9}):
+            intent = {"change": "put-service", "arguments": arguments | more}
+            body = json.dumps(intent).encode()
+            self.assertEqual(
+                ("400", "BAD_INPUT"), self._post("/v1/plans", body)
+            )
+
+    def test_a_body_that_is_too_large_is_refused(self):
+        body = b" " * (LARGEST_BODY + 1)
+        for path in PATHS:
+            self.assertEqual(("413", "TOO_LARGE"), self._post(path, body))
+
+    def test_deep_nesting_is_bad_input(self):
+        body = b"[" * 4000 + b"]" * 4000
+        for path in PATHS:
+            self.assertEqual(("400", "BAD_INPUT"), self._post(path, body))
+
+    def test_a_body_of_unknown_or_absurd_length_is_bad_input(self):
+        for length in ("", "-5", "x", "12345"):
+            answer = self._post("/v1/work", b"{}", CONTENT_LENGTH=length)
+            self.assertIn(answer[1], ("BAD_INPUT", "TOO_LARGE"))
+
+    def test_an_unknown_path_is_not_found(self):
+        self.assertEqual(("404", "NOT_FOUND"), self._post("/v1/none", b""))
+
+    def test_good_work_reaches_the_reducer(self):
+        answer = self._post("/v1/work", json.dumps(GOOD).encode())
+        self.assertEqual(("200", "OK"), answer)
+        self.assertEqual(1, len(self.engine.events))
+
+
+class EngineTest(testtools.TestCase):
+    """The engine's loop."""
+
+    def test_an_effect_that_fails_leaves_the_others_alone(self):
+        engine = engines.Engine.__new__(engines.Engine)
+        counted = []
+
+        class Counter:
+            count = staticmethod(counted.append)
+
+        engine.metrics = Counter
+        done = []
+
+        def fail(effect):
+            raise ValueError("bad effect")
+
+        engine.carriers = {
+            effects.Shutdown: fail,
+            effects.DropWorker: done.append,
+        }
+        drop = effects.DropWorker("w")
+        engine._carry(effects.Shutdown())
+        engine._carry(drop)
+        self.assertEqual([drop], done)
+        self.assertEqual(["effect.failed"], counted)
