--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -228,6 +228,26 @@
     lines: list[account.Line]
 
 
+@dataclasses.dataclass(slots=True)
+class AskAllowance:
+    """Asks an owner to give up unused allowance of a team.
+
+    Attributes:
+        team: The team.
+        needs: What the asking shard needs.
+    """
+
+    team: str
+    needs: resources.Resources
+
+
+@dataclasses.dataclass(slots=True)
+class AllowanceFreed:
+    """Allowance of a team was given up in the store."""
+
+    team: str
+
+
 @dataclasses.dataclass(slots=True)
 class AskStanding(Question):
     """Asks a peer how some work stands with it now."""
@@ -327,6 +347,8 @@
     UpdateTaken,
     AskAccount,
     AccountPage,
+    AskAllowance,
+    AllowanceFreed,
     AskStanding,
     StandingPage,
     AskHistory,
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -209,6 +209,8 @@
         return spec.start_before > st.now
     if not spec.idempotent or message.phase == works.Phase.DONE:
         return False
+    if message.outcome.code == codes.Code.OVER_LIMIT:
+        return True
     if spec.kind == works.Kind.REQUEST and message.phase == works.Phase.FAILED:
         return False
     return work.tasks[index].failures + 1 < st.tuning.attempts
@@ -228,7 +230,8 @@
     if _was_moved(work, message):
         dispatching.assign(st, work, index, out)
         return
-    task.failures += 1
+    if message.outcome.code != codes.Code.OVER_LIMIT:
+        task.failures += 1
     ceiling = min(
         LONGEST_RETRY_S, dispatching.FIRST_RETRY_S * 2 ** min(task.failures, 8)
     )
--- a/packages/core/mimosaridge_core/reducer.py
+++ b/packages/core/mimosaridge_core/reducer.py
@@ -1,5 +1,6 @@
 """The single door: reduce(state, event) returns effects."""
 
+from mimosaridge_core import allowances
 from mimosaridge_core import archives
 from mimosaridge_core import dispatch
 from mimosaridge_core import dispatching
@@ -23,13 +24,14 @@
 from mimosaridge_core import state
 from mimosaridge_core import workerreports
 
-# Importing them registers their handlers; ticks are handled in this order.
+# Importing them registers their handlers; no handler may rely on the order.
 HANDLER_MODULES = (
     membership,
     partitions,
     workerreports,
     placing,
     expiry,
+    allowances,
     rebalancing,
     homes,
     ledgers,
