--- a/packages/daemon/mimosaridge_daemon/engine.py
+++ b/packages/daemon/mimosaridge_daemon/engine.py
@@ -113,7 +113,6 @@
 
     def send_gauges(self) -> None:
         """Sends all gauges."""
-        self.metrics.gauge("inbox", self.inbox.qsize())
         for name, measure in gauges.GAUGES.items():
             self.metrics.gauge(name, measure(self.state))
 
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/pages.py
@@ -0,0 +1,70 @@
+"""The pages on settings and metrics, written from the code."""
+
+from mimosaridge_core import account
+from mimosaridge_daemon import gauges
+from mimosaridge_daemon import settings
+
+SETTINGS_HEAD = """\
+# Settings of a daemon
+
+Written by `scripts/pages` from the code; a test compares them. A flag
+`--name=value` goes before the environment variable. All problems are reported
+at once, with exit code 2, before anything is started.
+
+| flag | variable | default | meaning |
+|---|---|---|---|
+"""
+SETTINGS_FOOT = """
+The command line reads `MIMOSARIDGE_ADDRESS` (one or more addresses of daemons,
+divided by commas) and `MIMOSARIDGE_KEY`; the flags `--address` and `--key` go
+before them. Its exit codes: 0 done, 1 refused or failed (the result code is
+printed), 2 wrong usage, 3 no daemon was reached.
+"""
+METRICS_HEAD = """\
+# Metrics
+
+Written by `scripts/pages` from the code; a test compares them. Sent by statsd
+to the address in `--statsd`, each name after `mimosaridge.<daemon>.`; nothing
+is sent without that setting.
+
+## Gauges
+
+Sent every 10 s.
+
+| name | meaning |
+|---|---|
+"""
+COUNTERS_HEAD = """
+## Counters
+
+| name | meaning |
+|---|---|
+"""
+COUNTERS = {
+    "reducer.failed": "Events that the reducer could not take; see the log.",
+    "effect.failed": "Effects that could not be carried out; see the log.",
+}
+
+
+def settings_page() -> str:
+    """Returns docs/SETTINGS.md."""
+    rows = [
+        f"| `--{item.name}` | `{item.variable}` | {item.default or 'empty'}"
+        f" | {item.meaning} |\n"
+        for item in settings.describe()
+    ]
+    return SETTINGS_HEAD + "".join(rows) + SETTINGS_FOOT
+
+
+def metrics_page() -> str:
+    """Returns docs/METRICS.md."""
+    rows = [
+        f"| `{name}` | {measure.__doc__} |\n"
+        for name, measure in gauges.GAUGES.items()
+    ]
+    counters = COUNTERS | {
+        f"decision.{rule}": f'Decisions by the rule "{rule}".'
+        for rule in account.Rule
+    }
+    counted = [f"| `{name}` | {text} |\n" for name, text in counters.items()]
+    return METRICS_HEAD + "".join(rows) + COUNTERS_HEAD + "".join(counted)
