Take ports for tests from below the kernel's own range

Cause: tests/scenarios/test_bad_input.py did not get ready within 20 s once: daemon-1 ended with 'Address already in use', since the kernel had given the probed port to an outgoing connection (range 32768-60999) in the meantime. Ruled out: retries; they hide a process that ended. Conclusion: the race remains only between two probes of one port.

--- a/standins/mimosaridge_standins/deployments.py
+++ b/standins/mimosaridge_standins/deployments.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -18,13 +19,24 @@
 PEER_SECRET = "loopback-peers"
 START_S = 20.0
 STOP_S = 10.0
+FIRST_PORT = 15_000
+LAST_PORT = 32_000
 
 
 def free_port() -> int:
-    """Returns a loopback port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a loopback port that is free now.
+
+    Ports that the kernel gives to outgoing connections are avoided: one of
+    those may be taken again before a process listens on it.
+    """
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def fetch(method: str, url: str, body: Any = None, token: str = "") -> Any:
