--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -82,16 +82,21 @@
     Attributes:
         codec_ns: Time spent on encoding and decoding.
         sent_bytes: Bytes sent to all peers.
+        own_messages: Messages between the roles of this daemon, which would
+            go to peers if these held them; None if they are not kept.
     """
 
     codec_ns = 0
     sent_bytes = 0
+    own_messages: list[Any] | None = None
     latest: Any = None
     latest_bytes = 0
 
     def _send(self, effect: effects.SendPeer) -> None:
         super()._send(effect)
         if effect.daemon == self.state.name:
+            if self.own_messages is not None:
+                self.own_messages.append(effect.message)
             return
         if effect.message is not self.latest:
             self.latest = effect.message
@@ -121,11 +126,12 @@
         self.feed(changed)
 
 
-def _fill(size: Size) -> Measured:
+def _fill(size: Size, kept: list[Any] | None = None) -> Measured:
     hosts = harness.make_hosts(size.workers, ZONES)
     config = harness.make_config(size.teams)
     tuning = tunables.Tunables(buckets=BUCKETS)
     daemon = Measured(hosts, config, tuning)
+    daemon.own_messages = kept
     for work in harness.make_works(size.running, size.teams):
         work.kind = works.Kind.BATCH
         daemon.now += 1 / STARTS_PER_S
@@ -298,6 +304,20 @@
     return used / MIB
 
 
+def _start_bytes() -> float:
+    """Returns the bytes between roles for one task, from caller to end."""
+    tasks = Size().running
+    daemon = _fill(Size(), kept=[])
+    while daemon.running:
+        daemon.end_oldest()
+    daemon.run_idle(1.0)
+    sent = sum(
+        len(codec.encode_message("daemon-0", message))
+        for message in daemon.own_messages
+    )
+    return sent / tasks
+
+
 def _config_bytes(teams: int) -> int:
     config = harness.make_config(teams)
     return len(codec.encode_document(config))
@@ -382,6 +402,7 @@
     for tasks in (1, 100):
         size = _ledger_bytes(tasks)
         print(f"bytes of a ledger's entry of {tasks} tasks: {size}")
+    print(f"bytes between roles for a job of one task: {_start_bytes():.0f}")
     print(f"MiB of a full ring of records: {_ring_mib():.1f}")
     for teams in (75, 300):
         size = _config_bytes(teams)
