--- a/bench/harness.py
+++ b/bench/harness.py
@@ -37,8 +37,14 @@
 )
 
 
-def make_hosts(count: int, zones: int = ZONES) -> list[events.Host]:
-    """Returns a fleet of two endpoints."""
+def _times(amount: resources.Resources, factor: int) -> resources.Resources:
+    return resources.total([amount] * factor)
+
+
+def make_hosts(
+    count: int, zones: int = ZONES, factor: int = 1
+) -> list[events.Host]:
+    """Returns a fleet of two endpoints; the factor makes workers larger."""
     hosts = []
     for number in range(count):
         accelerated = number % ACCELERATED_EVERY == 0
@@ -52,7 +58,7 @@
                 zone,
                 f"{zone}-{number // zones // 5}",
                 endpoint,
-                ACCELERATED if accelerated else CAPACITY,
+                _times(ACCELERATED if accelerated else CAPACITY, factor),
             )
         )
     return hosts
--- a/packages/core/mimosaridge_core/membership.py
+++ b/packages/core/mimosaridge_core/membership.py
@@ -157,9 +157,9 @@
     member.summaries = {item.shard: item for item in message.summaries}
     if message.with_teams:
         return
-    for name, summary in member.summaries.items():
-        if name in known:
-            summary.team_use = known[name].team_use
+    told = (item.team_use for item in known.values() if item.team_use)
+    if message.summaries:
+        message.summaries[0].team_use = next(told, {})
 
 
 @dispatch.handles(events.PeerRefused)
@@ -201,10 +201,7 @@
         st.draining,
         {name: shard.epoch for name, shard in st.shards.items()}
         | {name: bucket.epoch for name, bucket in st.buckets.items()},
-        [
-            summaries.summarize(st, shard, with_teams)
-            for shard in st.shards.values()
-        ],
+        summaries.summarize_all(st, with_teams),
         st.now,
         st.word_at,
         with_teams,
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -38,7 +38,8 @@
         ready: Whether every worker has been heard under this epoch.
         queued: Tasks waiting in it.
         rooms: One for each endpoint.
-        team_use: Resources that each team has running.
+        team_use: Resources that each team has running; in a heartbeat, the
+            first summary tells those in all shards of the sender.
     """
 
     shard: str
--- a/packages/core/mimosaridge_core/summaries.py
+++ b/packages/core/mimosaridge_core/summaries.py
@@ -71,3 +71,28 @@
         rooms_of(shard),
         dict(shard.team_use) if with_teams else {},
     )
+
+
+def summarize_all(
+    st: state.State, with_teams: bool
+) -> list[messages.ShardSummary]:
+    """Describes all own shards for a heartbeat.
+
+    What teams use is told as one sum, in the first summary.
+    """
+    told = [summarize(st, shard, False) for shard in st.shards.values()]
+    if with_teams and told:
+        told[0].team_use = _use_of_all(st)
+    return told
+
+
+def _use_of_all(st: state.State) -> dict[str, resources.Resources]:
+    used: dict[str, resources.Resources] = {}
+    for shard in st.shards.values():
+        for team, amount in shard.team_use.items():
+            used[team] = used.get(team, resources.ZERO) + amount
+    return {
+        team: amount
+        for team, amount in used.items()
+        if amount != resources.ZERO
+    }
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -41,7 +41,7 @@
     """
 
     heartbeat_s: float = 0.5
-    teams_s: float = 2.0
+    teams_s: float = 3.0
     member_timeout_s: float = 2.5
     store_lease_s: float = 6.0
     settle_s: float = 1.0
