--- a/standins/mimosaridge_standins/deployments.py
+++ b/standins/mimosaridge_standins/deployments.py
@@ -78,7 +78,18 @@
             )
 
     def start(self) -> None:
-        """Starts all processes and waits until every shard has an owner."""
+        """Starts all processes and waits until every shard has an owner.
+
+        Raises:
+            TimeoutError: It did not happen in time; all processes are ended.
+        """
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+
+    def _start(self) -> None:
         fleet = self.folder / "fleet.json"
         fleet.write_text(json.dumps(self.hosts))
         self._standin("store", self.store_url)
