--- a/bench/harness.py
+++ b/bench/harness.py
@@ -37,8 +37,14 @@
 )
 
 
-def make_hosts(count: int, zones: int = ZONES) -> list[events.Host]:
-    """Returns a fleet of two endpoints."""
+def _times(amount: resources.Resources, factor: int) -> resources.Resources:
+    return resources.total([amount] * factor)
+
+
+def make_hosts(
+    count: int, zones: int = ZONES, factor: int = 1
+) -> list[events.Host]:
+    """Returns a fleet of two endpoints; the factor makes workers larger."""
     hosts = []
     for number in range(count):
         accelerated = number % ACCELERATED_EVERY == 0
@@ -52,7 +58,7 @@
                 zone,
                 f"{zone}-{number // zones // 5}",
                 endpoint,
-                ACCELERATED if accelerated else CAPACITY,
+                _times(ACCELERATED if accelerated else CAPACITY, factor),
             )
         )
     return hosts
@@ -164,7 +170,7 @@
                 self.feed(events.StoreHeard(self.now, prefix, self.now))
 
     def submit(self, work: works.Work, within_s: float = 60.0) -> None:
-        """Submits work now."""
+        """Submits work now; the caller of a request waits for its end."""
         self.handle += 1
         bits = uuid.UUID(work.work_id).int & (1 << 80) - 1
         made = int(self.now * 1000) << 80 | bits
@@ -173,7 +179,12 @@
         work.submitted_at = self.now
         token = f"k-{work.team}.secret"
         event = events.WorkSubmitted(
-            self.now, self.handle, token, "", work, True
+            self.now,
+            self.handle,
+            token,
+            "",
+            work,
+            work.kind == works.Kind.REQUEST,
         )
         self.feed(event)
 
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -39,7 +39,8 @@
         ready: Whether every worker has been heard under this epoch.
         queued: Tasks waiting in it.
         rooms: One for each endpoint.
-        team_use: Resources that each team has running.
+        team_use: Resources that each team has running; in a heartbeat, the
+            first summary tells those in all shards of the sender.
         unlisted: Workers that still run tasks and left the host list.
     """
 
@@ -67,8 +68,8 @@
         sent_at: When it was sent, seconds since the epoch.
         word_at: Time up to which its configuration is known to be the
             latest, seconds since the epoch.
-        with_teams: Whether the summaries tell what teams use; otherwise what
-            an earlier heartbeat told still counts.
+        with_teams: Whether the summaries tell what all teams use; otherwise
+            what an earlier heartbeat told still counts for teams left out.
     """
 
     url: str
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -23,6 +23,8 @@
         worker_poll_s: Longest call that keeps a worker's leases renewed.
         lease_margin_s: Added before a lease counts as surely ended.
         flush_s: Least time between two writes of one ledger.
+        outcome_flush_s: How much longer a ledger that nobody waits for may
+            stay unwritten.
         retention_s: How long outcomes are kept.
         archive_s: Least time between two pages that one bucket archives.
         account_s: How long accounts of settled work are kept.
@@ -44,7 +46,7 @@
     """
 
     heartbeat_s: float = 0.5
-    teams_s: float = 2.0
+    teams_s: float = 3.0
     member_timeout_s: float = 2.5
     store_lease_s: float = 6.0
     settle_s: float = 1.0
@@ -56,6 +58,7 @@
     worker_poll_s: float = 5.0
     lease_margin_s: float = 2.0
     flush_s: float = 0.03
+    outcome_flush_s: float = 0.3
     retention_s: float = 600.0
     archive_s: float = 2.0
     account_s: float = 7 * 86_400.0
--- a/packages/daemon/mimosaridge_daemon/engine.py
+++ b/packages/daemon/mimosaridge_daemon/engine.py
@@ -15,6 +15,7 @@
 from mimosaridge_core import events
 from mimosaridge_core import reducer
 from mimosaridge_core import state
+from mimosaridge_daemon import gauges
 from mimosaridge_daemon import hostlist
 from mimosaridge_daemon import logs
 from mimosaridge_daemon import metrics
@@ -75,6 +76,7 @@
         """Starts the loop and everything that feeds it."""
         gevent.spawn(self._run)
         gevent.spawn(self._tick)
+        gevent.spawn(self._gauge)
         self.peers.start()
         self.store.start()
         gevent.spawn(hostlist.follow, self.hosts_url, self.post)
@@ -105,6 +107,16 @@
             gevent.sleep(TICK_S)
             self.post(events.Tick(time.time()))
 
+    def _gauge(self) -> None:
+        while True:
+            gevent.sleep(gauges.EVERY_S)
+            self.send_gauges()
+
+    def send_gauges(self) -> None:
+        """Sends all gauges."""
+        for name, measure in gauges.GAUGES.items():
+            self.metrics.gauge(name, measure(self.state))
+
     def _run(self) -> None:
         handled = 0
         while True:
@@ -122,7 +134,15 @@
             self.metrics.count("reducer.failed")
             return
         for effect in produced:
+            self._carry(effect)
+
+    def _carry(self, effect: Any) -> None:
+        """Carries out an effect; one that can't be leaves the others alone."""
+        try:
             self.carriers[type(effect)](effect)
+        except Exception:
+            LOG.exception("{} failed", type(effect).__name__)
+            self.metrics.count("effect.failed")
 
     def _reply(self, effect: effects.Reply) -> None:
         answer = self.calls.get(effect.handle)
