--- a/tests/scenarios/test_owners.py
+++ b/tests/scenarios/test_owners.py
@@ -37,6 +37,18 @@
     deployments.fetch("POST", url, faults)
 
 
+def _wait_configured(scene):
+    """Waits until the team's key, granted a moment ago, counts everywhere."""
+    deadline = time.time() + 10.0
+    numbers = {0, 1}
+    while len(numbers) > 1:
+        assert time.time() < deadline, numbers
+        numbers = {
+            scene.deployment.status(name)["config_number"]
+            for name in scene.deployment.addresses
+        }
+
+
 @pytest_bdd.given(
     parsers.parse("a batch job of {count:d} tasks of {run_s:d} seconds")
 )
@@ -70,6 +82,7 @@
     parsers.parse("the store goes down for {seconds:d} seconds"),
 )
 def _outage(scene, seconds):
+    _wait_configured(scene)
     _store(scene, down=True)
     scene.until = time.time() + seconds
 
@@ -189,6 +202,7 @@
 
 @pytest_bdd.when("each daemon is restarted by SIGTERM while requests are sent")
 def _rolling(scene):
+    _wait_configured(scene)
     names = list(scene.deployment.addresses)
     scene.draining = ""
     scene.stop = False
