--- a/packages/core/mimosaridge_core/changes.py
+++ b/packages/core/mimosaridge_core/changes.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Callable
 import dataclasses
+from typing import Any
 
 from mimosaridge_core import configuration
 from mimosaridge_core import keys
 from mimosaridge_core import limits
+from mimosaridge_core import placement
 from mimosaridge_core import resources
+from mimosaridge_core import snapshots
 from mimosaridge_core import works
 
 REGISTRY: dict[str, type] = {}
@@ -27,6 +30,19 @@
     return register
 
 
+SECRETS = frozenset(("salt", "digest", "snapshot"))
+
+
+def describe(stated: Any) -> str:
+    """Returns a change as it was stated, without what must stay secret."""
+    arguments = [
+        f"{field.name}={getattr(stated, field.name)!r}"
+        for field in dataclasses.fields(stated)
+        if field.name not in SECRETS
+    ]
+    return " ".join([stated.change_name, *arguments])
+
+
 def _require_team(config: configuration.Config, name: str) -> None:
     if name not in config.teams:
         raise InvalidError(f"There is no team {name!r}; create it first.")
@@ -137,9 +153,13 @@
             raise InvalidError(f"A role is one of {', '.join(keys.ROLES)}.")
         if self.role == keys.TEAM:
             _require_team(config, self.team)
+        if self.role != keys.TEAM and self.team:
+            raise InvalidError("Only a team's key names a team.")
         config.keys[self.key_id] = configuration.Key(
             self.key_id, self.role, self.team, self.salt, self.digest
         )
+        if self.role == keys.OPERATOR:
+            config.bootstrapped = True
 
     def summary(self) -> str:
         """Says what the change does."""
@@ -158,11 +178,19 @@
         """Applies the change.
 
         Raises:
-            InvalidError: There is no such key.
+            InvalidError: There is no such key, or no operator would be left.
         """
-        if self.key_id not in config.keys:
+        key = config.keys.get(self.key_id)
+        if key is None or key.withdrawn:
             raise InvalidError(f"There is no key {self.key_id!r}.")
-        config.keys[self.key_id].withdrawn = True
+        others = [
+            other
+            for other in config.keys.values()
+            if other.role == keys.OPERATOR and other is not key
+        ]
+        if key.role == keys.OPERATOR and not others:
+            raise InvalidError("It is the last operator's key; grant one.")
+        del config.keys[self.key_id]
 
     def summary(self) -> str:
         """Says what the change does."""
@@ -307,3 +335,146 @@
     def summary(self) -> str:
         """Says what the change does."""
         return f"bring zone {self.zone} back"
+
+
+@change("worker-out")
+@dataclasses.dataclass(slots=True)
+class WorkerOut:
+    """Sets a worker aside: it takes no new work."""
+
+    worker: str
+
+    def apply(self, config: configuration.Config) -> None:
+        """Applies the change.
+
+        Raises:
+            InvalidError: The worker is set aside already.
+        """
+        if self.worker in config.workers_out:
+            raise InvalidError(f"Worker {self.worker!r} is set aside already.")
+        config.workers_out.append(self.worker)
+
+    def summary(self) -> str:
+        """Says what the change does."""
+        return f"set worker {self.worker} aside"
+
+
+@change("worker-in")
+@dataclasses.dataclass(slots=True)
+class WorkerIn:
+    """Brings a worker back that was set aside."""
+
+    worker: str
+
+    def apply(self, config: configuration.Config) -> None:
+        """Applies the change.
+
+        Raises:
+            InvalidError: The worker is not set aside.
+        """
+        if self.worker not in config.workers_out:
+            raise InvalidError(f"Worker {self.worker!r} is not set aside.")
+        config.workers_out.remove(self.worker)
+
+    def summary(self) -> str:
+        """Says what the change does."""
+        return f"bring worker {self.worker} back"
+
+
+@change("set-policy")
+@dataclasses.dataclass(slots=True)
+class SetPolicy:
+    """Chooses the placement policy."""
+
+    policy: str
+
+    def apply(self, config: configuration.Config) -> None:
+        """Applies the change.
+
+        Raises:
+            InvalidError: There is no such policy.
+        """
+        if self.policy not in placement.POLICIES:
+            known = ", ".join(sorted(placement.POLICIES))
+            raise InvalidError(f"A policy is one of {known}.")
+        config.policy = self.policy
+
+    def summary(self) -> str:
+        """Says what the change does."""
+        return f"place by policy {self.policy}"
+
+
+@change("set-workspace")
+@dataclasses.dataclass(slots=True)
+class SetWorkspace:
+    """Moves a team to a workspace; a workspace is there while it has teams."""
+
+    team: str
+    workspace: str
+
+    def apply(self, config: configuration.Config) -> None:
+        """Applies the change.
+
+        Raises:
+            InvalidError: There is no such team or the name is empty.
+        """
+        _require_team(config, self.team)
+        if not self.workspace:
+            raise InvalidError("A workspace needs a name.")
+        config.teams[self.team].workspace = self.workspace
+
+    def summary(self) -> str:
+        """Says what the change does."""
+        return f"move team {self.team} to workspace {self.workspace}"
+
+
+@change("remove-team")
+@dataclasses.dataclass(slots=True)
+class RemoveTeam:
+    """Removes a team with its keys, open queues and services."""
+
+    team: str
+
+    def apply(self, config: configuration.Config) -> None:
+        """Applies the change.
+
+        Raises:
+            InvalidError: There is no such team.
+        """
+        _require_team(config, self.team)
+        del config.teams[self.team]
+        for held in (config.keys, config.queues, config.services):
+            for name in [
+                n for n, item in held.items() if item.team == self.team
+            ]:
+                del held[name]
+
+    def summary(self) -> str:
+        """Says what the change does."""
+        return f"remove team {self.team}"
+
+
+@change("restore")
+@dataclasses.dataclass(slots=True)
+class Restore:
+    """Puts an exported snapshot in place of the configuration.
+
+    The configuration's number and its audit go on.
+    """
+
+    snapshot: configuration.Config
+    checksum: str
+
+    def apply(self, config: configuration.Config) -> None:
+        """Applies the change.
+
+        Raises:
+            InvalidError: The checksum does not match the snapshot.
+        """
+        if self.checksum != snapshots.checksum(self.snapshot):
+            raise InvalidError("The checksum does not match the snapshot.")
+        snapshots.restore(config, self.snapshot)
+
+    def summary(self) -> str:
+        """Says what the change does."""
+        return f"restore the snapshot of configuration {self.snapshot.number}"
--- a/packages/core/mimosaridge_core/configuration.py
+++ b/packages/core/mimosaridge_core/configuration.py
@@ -92,6 +92,8 @@
         summary: What was changed, in a sentence.
         revision_before: Configuration number before the change.
         revision_after: Configuration number after the change.
+        intent: The change as it was stated, without secrets.
+        plan: The plan's lines at the time of the confirm.
     """
 
     change_id: str
@@ -100,6 +102,8 @@
     summary: str
     revision_before: int
     revision_after: int
+    intent: str = ""
+    plan: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,6 +121,8 @@
         workers_out: Workers set aside by operators.
         policy: Name of the placement policy.
         audit: The latest changes, oldest first.
+        audit_page: Key of the page that keeps the changes before them.
+        bootstrapped: Whether an operator's key was ever granted.
     """
 
     number: int = 0
@@ -129,3 +135,5 @@
     workers_out: list[str] = dataclasses.field(default_factory=list)
     policy: str = "best-fit"
     audit: list[AuditEntry] = dataclasses.field(default_factory=list)
+    audit_page: str = ""
+    bootstrapped: bool = False
--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -11,6 +11,7 @@
 PARTITIONS = "partitions/"
 LEDGERS = "ledgers/"
 ALLOWANCES = "allowances/"
+AUDIT = "audit/"
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,12 +121,26 @@
     parts: dict[str, Part] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class AuditPage:
+    """Changes that the configuration document no longer carries.
+
+    Attributes:
+        previous: Key of the page before; empty for the first.
+        entries: The changes, oldest first.
+    """
+
+    previous: str
+    entries: list[configuration.AuditEntry]
+
+
 KINDS: dict[str, type] = {
     CONFIG_KEY: configuration.Config,
     DAEMONS: Daemon,
     PARTITIONS: Ownership,
     LEDGERS: Ledger,
     ALLOWANCES: Allowances,
+    AUDIT: AuditPage,
 }
 
 
--- a/packages/core/mimosaridge_core/events.py
+++ b/packages/core/mimosaridge_core/events.py
@@ -90,6 +90,14 @@
     asked_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class StoreUnreadable(Event):
+    """A watched key has a value that is no document of its kind."""
+
+    key: str
+    revision: int
+
+
 @dataclasses.dataclass(slots=True)
 class PeerRefused(Event):
     """A peer's host answered that nobody listens at the peer's address."""
@@ -334,6 +342,36 @@
     token: str
 
 
+@dataclasses.dataclass(slots=True)
+class AuditAsked(Event):
+    """Somebody asks for accepted changes.
+
+    Attributes:
+        handle: The open call.
+        token: Key that came with it.
+        page: Key of an earlier page; empty for the latest changes.
+    """
+
+    handle: int
+    token: str
+    page: str
+
+
+@dataclasses.dataclass(slots=True)
+class ConfigAsked(Event):
+    """Somebody asks for a section of the configuration.
+
+    Attributes:
+        handle: The open call.
+        token: Key that came with it.
+        section: Name of the section.
+    """
+
+    handle: int
+    token: str
+    section: str
+
+
 @dataclasses.dataclass(slots=True)
 class CallerGone(Event):
     """A caller closed its call or its time ran out."""
--- a/packages/core/mimosaridge_core/ingress.py
+++ b/packages/core/mimosaridge_core/ingress.py
@@ -192,14 +192,21 @@
         out.append(effects.Reply(handle, outcome.code, outcome.detail, outcome))
 
 
+def _may_cancel(st: state.State, holder: keys.Holder) -> bool:
+    return holder.role != keys.ANALYST and freshness.is_current(st)
+
+
 @dispatch.handles(events.WorkQueried)
 def _queried(st: state.State, event: events.WorkQueried, out: list) -> None:
-    holder = keys.verify(st.config, event.token)
+    holder = keys.verify_administrator(st.config, event.token, st.bootstrap_key)
     if holder is None:
         out.append(effects.Reply(event.handle, codes.Code.BAD_KEY))
         return
+    if event.cancel and not _may_cancel(st, holder):
+        out.append(effects.Reply(event.handle, codes.Code.NOT_ALLOWED))
+        return
     owner = buckets.owner_of(st, buckets.bucket_of(st, event.work_id))
     if event.cancel and owner:
-        cancel = messages.CancelWork(event.work_id)
+        cancel = messages.CancelWork(event.work_id, holder.team)
         out.append(effects.SendPeer(owner, cancel))
     out.append(effects.Reply(event.handle, codes.Code.ACCEPTED))
--- a/packages/core/mimosaridge_core/keys.py
+++ b/packages/core/mimosaridge_core/keys.py
@@ -10,6 +10,8 @@
 ANALYST = "analyst"
 TEAM = "team"
 ROLES = (TEAM, OPERATOR, ANALYST)
+BOOTSTRAP = "bootstrap"
+NO_DIGEST = "0" * 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,12 +34,36 @@
     return hmac.new(salt.encode(), secret.encode(), hashlib.sha256).hexdigest()
 
 
+def _same(one: str, other: str) -> bool:
+    """Compares in a time that does not tell where they differ."""
+    return hmac.compare_digest(one.encode(), other.encode())
+
+
 def verify(config: configuration.Config, token: str) -> Holder | None:
     """Returns the holder of a token "key_id.secret", or None if invalid."""
     key_id, _, secret = token.partition(".")
     key = config.keys.get(key_id)
-    if key is None or key.withdrawn:
-        return None
-    if not hmac.compare_digest(digest(key.salt, secret), key.digest):
+    known = key is not None and not key.withdrawn
+    salt = key.salt if known else ""
+    expected = key.digest if known else NO_DIGEST
+    matches = _same(digest(salt, secret), expected)
+    if not known or not matches:
         return None
     return Holder(key.key_id, key.role, key.team)
+
+
+def verify_administrator(
+    config: configuration.Config, token: str, bootstrap_key: str
+) -> Holder | None:
+    """Returns the holder of a token; the bootstrap key counts at first.
+
+    Args:
+        config: The configuration in force.
+        token: The token shown.
+        bootstrap_key: Operator's token that counts while no operator's key
+            was ever granted; empty for none.
+    """
+    bootstraps = bool(bootstrap_key) and not config.bootstrapped
+    if bootstraps and _same(token, bootstrap_key):
+        return Holder(BOOTSTRAP, OPERATOR, "")
+    return verify(config, token)
--- a/packages/core/mimosaridge_core/membership.py
+++ b/packages/core/mimosaridge_core/membership.py
@@ -1,6 +1,7 @@
 """Which daemons are there, and which configuration is in force."""
 
 from mimosaridge_core import account
+from mimosaridge_core import codes
 from mimosaridge_core import configuration
 from mimosaridge_core import dispatch
 from mimosaridge_core import documents
@@ -13,6 +14,7 @@
 from mimosaridge_core import summaries
 
 FORGET_AFTER_TIMEOUTS = 10
+CONFIG_ASK_S = 0.2
 
 
 def live_members(st: state.State) -> tuple[str, ...]:
@@ -63,9 +65,29 @@
         )
         _changed(st, changed, out)
     if event.prefix == documents.CONFIG_KEY:
+        # The key may be missing: the next change then makes it anew.
+        st.config_revision = event.revisions.get(documents.CONFIG_KEY, 0)
         freshness.hear(st, event.asked_at)
 
 
+@dispatch.handles(events.StoreUnreadable)
+def _unreadable(
+    st: state.State, event: events.StoreUnreadable, out: list
+) -> None:
+    """Keeps what is in force; the next change replaces what is unreadable."""
+    if event.key != documents.CONFIG_KEY:
+        return
+    st.config_revision = max(st.config_revision, event.revision)
+    state.note(
+        st,
+        out,
+        account.Rule.CONFIGURATION,
+        "The configuration in the store can't be read;"
+        f" {st.config.number} stays in force.",
+        code=codes.Code.BAD_INPUT,
+    )
+
+
 @dispatch.handles(events.StoreChanged)
 def _changed(st: state.State, event: events.StoreChanged, out: list) -> None:
     st.store_heard_at = st.now
@@ -79,8 +101,10 @@
 def _config_changed(
     st: state.State, event: events.StoreChanged, out: list
 ) -> None:
-    if event.value is not None:
-        adopt(st, event.value, event.revision, out)
+    if event.value is None:
+        st.config_revision = 0
+        return
+    take_stored(st, event.value, event.revision, out)
 
 
 @dispatch.watches(documents.DAEMONS)
@@ -98,6 +122,17 @@
     member.listed = True
 
 
+def take_stored(
+    st: state.State,
+    config: configuration.Config,
+    revision: int,
+    out: list,
+) -> None:
+    """Takes what the store holds; an older one is kept out of force."""
+    adopt(st, config, revision, out)
+    st.config_revision = max(st.config_revision, revision)
+
+
 def adopt(
     st: state.State,
     config: configuration.Config,
@@ -117,6 +152,9 @@
     )
     for listener in dispatch.CONFIGURED:
         listener(st, out)
+    in_force = messages.ConfigInForce(config.number)
+    for member in st.members.values():
+        out.append(effects.SendPeer(member.name, in_force))
 
 
 @dispatch.handles(events.HostsListed)
@@ -147,7 +185,7 @@
     member.sent_at = message.sent_at
     member.gone = False
     if message.config_number > st.config.number:
-        out.append(effects.SendPeer(sender, messages.AskConfig()))
+        _ask_for_config(st, sender, out)
     else:
         freshness.hear(st, message.word_at)
 
@@ -159,6 +197,25 @@
         member.gone = True
 
 
+def _ask_for_config(st: state.State, peer: str, out: list) -> None:
+    if st.config_asked_at + CONFIG_ASK_S > st.now:
+        return
+    st.config_asked_at = st.now
+    out.append(effects.SendPeer(peer, messages.AskConfig()))
+
+
+@dispatch.receives(messages.ConfigInForce)
+def _in_force(
+    st: state.State, sender: str, message: messages.ConfigInForce, out: list
+) -> None:
+    member = st.members.get(sender)
+    if member is None:
+        return
+    member.config_number = max(member.config_number, message.number)
+    if message.number > st.config.number:
+        _ask_for_config(st, sender, out)
+
+
 @dispatch.receives(messages.AskConfig)
 def _ask_config(
     st: state.State, sender: str, message: messages.AskConfig, out: list
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -88,6 +88,13 @@
     """Asks a peer for the configuration in force there."""
 
 
+@dataclasses.dataclass(slots=True)
+class ConfigInForce:
+    """Tells a peer which configuration is in force here."""
+
+    number: int
+
+
 @dataclasses.dataclass(slots=True)
 class ConfigCopy:
     """A configuration with its store revision."""
@@ -120,9 +127,15 @@
 
 @dataclasses.dataclass(slots=True)
 class CancelWork:
-    """A team or an operator cancels work."""
+    """A team or an operator cancels work.
+
+    Attributes:
+        work_id: The work.
+        team: Team whose key was shown; empty for an operator's.
+    """
 
     work_id: str
+    team: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -342,6 +355,7 @@
     UpdateTaken,
     AskAccount,
     AccountPage,
+    ConfigInForce,
     AskAllowance,
     AllowanceFreed,
     AskStanding,
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -401,5 +401,7 @@
     st: state.State, sender: str, message: messages.CancelWork, out: list
 ) -> None:
     work = st.works.get(message.work_id)
-    if work is not None and work.entry.outcome is None:
+    if work is None or message.team not in ("", work.entry.work.team):
+        return
+    if work.entry.outcome is None:
         cancel(st, work, out)
--- a/packages/core/mimosaridge_core/queries.py
+++ b/packages/core/mimosaridge_core/queries.py
@@ -50,9 +50,8 @@
 
 def may_read(st: state.State, handle: int, token: str, out: list) -> bool:
     """Tells whether a token may read; replies to the caller if not."""
-    known = keys.verify(st.config, token) is not None
-    bootstraps = bool(st.bootstrap_key) and token == st.bootstrap_key
-    if not known and not bootstraps:
+    holder = keys.verify_administrator(st.config, token, st.bootstrap_key)
+    if holder is None:
         out.append(effects.Reply(handle, codes.Code.BAD_KEY))
         return False
     return True
--- a/packages/core/mimosaridge_core/shards.py
+++ b/packages/core/mimosaridge_core/shards.py
@@ -33,6 +33,7 @@
             _claim_worker(st, shard, worker, out)
         worker.host = host
         worker.leaving = worker.leaving or host.leaving
+        worker.set_aside = host.worker_id in st.config.workers_out
         rooms.reindex(shard, worker)
     rooms.count_capacity(shard)
 
--- /dev/null
+++ b/packages/core/mimosaridge_core/snapshots.py
@@ -0,0 +1,66 @@
+"""Export and restore of the configuration."""
+
+import copy
+import dataclasses
+import hashlib
+import json
+
+from mimosaridge_core import configuration
+from mimosaridge_core import resources
+
+RESTORED = (
+    "shards_per_zone",
+    "teams",
+    "keys",
+    "queues",
+    "services",
+    "zones_out",
+    "workers_out",
+    "policy",
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Snapshot:
+    """An exported configuration.
+
+    Attributes:
+        snapshot: The configuration with its latest audit entries.
+        checksum: SHA-256 of its canonical JSON, in hexadecimal.
+    """
+
+    snapshot: configuration.Config
+    checksum: str
+
+
+def checksum(config: configuration.Config) -> str:
+    """Returns the SHA-256 of a configuration's canonical JSON."""
+    text = json.dumps(
+        dataclasses.asdict(config), sort_keys=True, separators=(",", ":")
+    )
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def export(config: configuration.Config) -> Snapshot:
+    """Returns a snapshot of a configuration."""
+    return Snapshot(config, checksum(config))
+
+
+def restore(
+    config: configuration.Config, snapshot: configuration.Config
+) -> None:
+    """Puts a snapshot's content into a configuration.
+
+    The number goes on above both. The snapshot's audit is taken only if the
+    configuration has none. All limits count use anew.
+    """
+    if not config.audit and not config.audit_page:
+        config.audit = copy.deepcopy(snapshot.audit)
+        config.audit_page = snapshot.audit_page
+    config.number = max(config.number, snapshot.number + 1)
+    config.bootstrapped = config.bootstrapped or snapshot.bootstrapped
+    for name in RESTORED:
+        setattr(config, name, copy.deepcopy(getattr(snapshot, name)))
+    for team in config.teams.values():
+        if team.upper_limit != resources.ZERO:
+            team.limited_since = config.number
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -96,6 +96,7 @@
         reachable: Whether it answered its last call.
         leaving: Whether it or the host list says that it is going away.
         lease_ends: When its task leases have surely ended.
+        set_aside: Whether operators set it aside.
     """
 
     host: events.Host
@@ -106,6 +107,7 @@
     reachable: bool = False
     leaving: bool = False
     lease_ends: float = 0.0
+    set_aside: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -349,6 +351,9 @@
     store_heard_at: float = 0.0
     word_at: float = 0.0
     daemons_listed: bool = False
+    config_asked_at: float = 0.0
+    audit_written: str = ""
+    spreading: list[Any] = dataclasses.field(default_factory=list)
     lease_id: str = ""
     renew_at: float = 0.0
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
--- a/packages/core/mimosaridge_core/summaries.py
+++ b/packages/core/mimosaridge_core/summaries.py
@@ -20,7 +20,8 @@
 
 def takes_work(worker: state.Worker) -> bool:
     """Tells whether new tasks may start on a worker."""
-    return worker.heard and worker.reachable and not worker.leaving
+    stays = not worker.leaving and not worker.set_aside
+    return worker.heard and worker.reachable and stays
 
 
 def is_known(st: state.State, worker: state.Worker) -> bool:
--- a/packages/daemon/mimosaridge_daemon/api.py
+++ b/packages/daemon/mimosaridge_daemon/api.py
@@ -78,6 +78,8 @@
             ("GET", "/v1/status", self.status),
             ("POST", "/v1/plans", self.plan),
             ("POST", "/v1/confirmations", self.confirm),
+            ("GET", "/v1/configuration/<section>", self.section),
+            ("GET", "/v1/audit", self.audit),
             ("GET", "/healthz", self.health),
         )
         for method, path, handler in routes:
@@ -246,6 +248,25 @@
         )
         return self._typed(reply, "confirmed")
 
+    def section(self, section: str) -> str:
+        """Returns a section of the configuration."""
+        token = _token()
+        reply = self._call(
+            lambda now, handle: events.ConfigAsked(now, handle, token, section),
+            OPERATOR_TIMEOUT_S,
+        )
+        return self._typed(reply, "section")
+
+    def audit(self) -> str:
+        """Returns the latest changes, or an earlier page of them."""
+        token = _token()
+        page = bottle.request.query.page
+        reply = self._call(
+            lambda now, handle: events.AuditAsked(now, handle, token, page),
+            OPERATOR_TIMEOUT_S,
+        )
+        return self._typed(reply, "audit")
+
     def health(self) -> str:
         """Tells the platform's balancer whether to send callers here."""
         if self.engine.state.draining:
--- a/packages/daemon/mimosaridge_daemon/store.py
+++ b/packages/daemon/mimosaridge_daemon/store.py
@@ -129,7 +129,11 @@
             key = item["key"]
             revisions[key] = item["revision"]
             value = _decode(key, item["value"])
-            if value is not None:
+            if value is None:
+                self.post(
+                    events.StoreUnreadable(time.time(), key, item["revision"])
+                )
+            else:
                 values[key] = value
         self.post(
             events.StoreListed(
@@ -162,6 +166,9 @@
         key = item["key"]
         value = _decode(key, item["value"])
         if value is None and item["value"] is not None:
+            self.post(
+                events.StoreUnreadable(time.time(), key, item["revision"])
+            )
             return
         self.post(
             events.StoreChanged(time.time(), key, value, item["revision"])
