--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from mimosaridge_core import account
 from mimosaridge_core import configuration
 from mimosaridge_core import resources
 from mimosaridge_core import works
@@ -10,6 +11,7 @@
 DAEMONS = "daemons/"
 PARTITIONS = "partitions/"
 LEDGERS = "ledgers/"
+ACCOUNTS = "accounts/"
 ALLOWANCES = "allowances/"
 AUDIT = "audit/"
 
@@ -69,6 +71,7 @@
         outcome: The outcome of the whole, once settled.
         settled_at: When it was settled, seconds since the epoch.
         cancelled: Whether its team or an operator cancelled it.
+        archived: Whether its account is in the store.
     """
 
     work: works.Work
@@ -76,6 +79,7 @@
     outcome: works.Outcome | None = None
     settled_at: float = 0.0
     cancelled: bool = False
+    archived: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,6 +97,17 @@
     entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class Page:
+    """Accounts of settled work of one bucket, by the minute of their ids.
+
+    Attributes:
+        stories: Accounts by work id.
+    """
+
+    stories: dict[str, account.Story] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True)
 class Part:
     """A shard's part of a team's upper limit.
@@ -139,6 +154,7 @@
     DAEMONS: Daemon,
     PARTITIONS: Ownership,
     LEDGERS: Ledger,
+    ACCOUNTS: Page,
     ALLOWANCES: Allowances,
     AUDIT: AuditPage,
 }
--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -64,6 +64,8 @@
         sent_at: When it was sent, seconds since the epoch.
         word_at: Time up to which its configuration is known to be the
             latest, seconds since the epoch.
+        with_teams: Whether the summaries tell what teams use; otherwise what
+            an earlier heartbeat told still counts.
     """
 
     url: str
@@ -74,6 +76,7 @@
     summaries: list[ShardSummary]
     sent_at: float
     word_at: float
+    with_teams: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -189,6 +192,7 @@
         phase: Where the task stands.
         worker: Worker that it runs on, if any.
         outcome: Code, detail and answer of a settled attempt.
+        lines: What the owner decided about a settled attempt.
     """
 
     task_id: str
@@ -199,6 +203,7 @@
     phase: works.Phase
     worker: str = ""
     outcome: works.Outcome | None = None
+    lines: list[account.Line] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -230,10 +235,10 @@
 
 @dataclasses.dataclass(slots=True)
 class AccountPage:
-    """A peer's records of some work."""
+    """What a peer knows of some work."""
 
     query_id: int
-    records: list[account.Record]
+    lines: list[account.Line]
 
 
 @dataclasses.dataclass(slots=True)
