--- a/packages/cli/mimosaridge_cli/analyst.py
+++ b/packages/cli/mimosaridge_cli/analyst.py
@@ -128,24 +128,6 @@
         except KeyboardInterrupt:
             print()
 
-    def audit(self) -> None:
-        """Lists the latest changes: who, when and what."""
-        content = self._call("GET", "/v1/status")
-        entries = content["status"]["audit"]
-        if self._json:
-            output.machine(entries)
-            return
-        rows = [
-            [
-                output.clock(entry["at"]),
-                entry["operator"],
-                entry["revision_after"],
-                entry["summary"],
-            ]
-            for entry in entries
-        ]
-        output.table(rows, ["at", "operator", "configuration", "change"])
-
 
 def _shard_rows(status: Any) -> list[list[Any]]:
     return [
--- a/packages/cli/mimosaridge_cli/client.py
+++ b/packages/cli/mimosaridge_cli/client.py
@@ -21,10 +21,12 @@
     Attributes:
         code: Result code; None if no daemon was reached.
         detail: What happened and what to do.
+        plan: The plan on what is in force now, if another change came first.
     """
 
     code: codes.Code | None
     detail: str
+    plan: Any = None
 
 
 class Client:
@@ -76,5 +78,6 @@
         content = json.loads(answer.data)
         if content["code"] >= codes.Code.NOT_RUN:
             code = codes.Code(content["code"])
-            return result.Err(Failure(code, content["detail"]))
+            plan = content.get("plan")
+            return result.Err(Failure(code, content["detail"], plan))
         return result.Ok(content)
--- a/packages/cli/mimosaridge_cli/main.py
+++ b/packages/cli/mimosaridge_cli/main.py
@@ -2,24 +2,19 @@
 
 import base64
 import json as json_library
-import secrets
 import sys
 import time
 from typing import Any
-import uuid
 
 import fire
 import uuid6
 
+from mimosaridge_cli import administrator
 from mimosaridge_cli import analyst
 from mimosaridge_cli import output
-from mimosaridge_core import keys
 
-SECRET_BYTES = 24
-SALT_BYTES = 16
 
-
-class Commands(analyst.Analyst):
+class Commands(analyst.Analyst, administrator.Administrator):
     """Asks, changes and explains a mimosaridge deployment.
 
     Flags before the command: --address=http://IP:PORT[,...] (or
@@ -96,72 +91,6 @@
         content = self._call("POST", f"/v1/work/{work_id}/cancel")
         self._show(content, "cancellation sent")
 
-    def plan(self, change: str, **arguments: Any) -> None:
-        """Shows what a change would do, without doing it.
-
-        Args:
-            change: Name of the change, for instance zone-out.
-            **arguments: The change's own arguments.
-        """
-        content = self._plan(change, arguments)
-        self._show(content, "\n".join(content["plan"]["lines"]))
-
-    def change(self, change: str, yes: bool = False, **arguments: Any) -> None:
-        """Plans a change, shows the plan, and applies it once confirmed.
-
-        Args:
-            change: Name of the change, for instance zone-out.
-            yes: Confirm without asking.
-            **arguments: The change's own arguments.
-        """
-        content = self._plan(change, arguments)
-        plan = content["plan"]
-        for line in plan["lines"]:
-            print(f"  {line}", file=sys.stderr)
-        if not yes and input("Confirm? [y/N] ").strip().lower() != "y":
-            print("nothing was changed")
-            return
-        confirmed = self._call(
-            "POST",
-            "/v1/confirmations",
-            {
-                "intent": {"change": change, "arguments": arguments},
-                "base_number": plan["base_number"],
-                "expires_at": plan["expires_at"],
-                "change_id": str(uuid.uuid4()),
-            },
-        )
-        done = confirmed["confirmed"]
-        self._show(
-            confirmed,
-            f"configuration {done['number']} is accepted; in force at"
-            f" {', '.join(done['in_force'])}",
-        )
-
-    def grant(self, role: str = "team", team: str = "") -> None:
-        """Makes a key, grants it and prints it once.
-
-        Args:
-            role: team, operator or analyst.
-            team: Team that the key submits for.
-        """
-        key_id = "k" + secrets.token_hex(6)
-        secret = secrets.token_urlsafe(SECRET_BYTES)
-        salt = secrets.token_hex(SALT_BYTES)
-        arguments = {
-            "key_id": key_id,
-            "role": role,
-            "team": team,
-            "salt": salt,
-            "digest": keys.digest(salt, secret),
-        }
-        self.change("grant-key", yes=True, **arguments)
-        print(f"{key_id}.{secret}")
-
-    def _plan(self, change: str, arguments: dict[str, Any]) -> Any:
-        body = {"change": change, "arguments": arguments}
-        return self._call("POST", "/v1/plans", body)
-
 
 def _text(body: Any) -> str:
     """Undoes fire's reading of a JSON body as a Python value."""
--- a/packages/cli/mimosaridge_cli/output.py
+++ b/packages/cli/mimosaridge_cli/output.py
@@ -35,6 +35,10 @@
         sys.exit(client.NOT_REACHED_EXIT)
     text = f"{failure.code.name} ({int(failure.code)}): {failure.detail}"
     print(text, file=sys.stderr)
+    if failure.plan:
+        print("The same change would now do this:", file=sys.stderr)
+        for line in failure.plan["lines"]:
+            print(f"  {line}", file=sys.stderr)
     sys.exit(FAILED_EXIT)
 
 
--- a/packages/core/mimosaridge_core/changes.py
+++ b/packages/core/mimosaridge_core/changes.py
@@ -1,4 +1,8 @@
-"""Changes that operators may state, and how each alters the configuration."""
+"""Changes that operators may state, and how each alters the configuration.
+
+A change is applied to a copy that shares its items with the configuration in
+force: it puts new items in place and never alters one.
+"""
 
 from collections.abc import Callable
 import dataclasses
@@ -98,7 +102,8 @@
         _require_team(config, self.team)
         if self.share <= 0:
             raise InvalidError("A share must be above zero.")
-        config.teams[self.team].share = self.share
+        team = config.teams[self.team]
+        config.teams[self.team] = dataclasses.replace(team, share=self.share)
 
     def summary(self) -> str:
         """Says what the change does."""
@@ -121,9 +126,12 @@
         """
         _require_team(config, self.team)
         team = config.teams[self.team]
+        since = team.limited_since
         if limits.limits_more(self.upper_limit, team.upper_limit):
-            team.limited_since = config.number
-        team.upper_limit = self.upper_limit
+            since = config.number
+        config.teams[self.team] = dataclasses.replace(
+            team, upper_limit=self.upper_limit, limited_since=since
+        )
 
     def summary(self) -> str:
         """Says what the change does."""
@@ -421,7 +429,10 @@
         _require_team(config, self.team)
         if not self.workspace:
             raise InvalidError("A workspace needs a name.")
-        config.teams[self.team].workspace = self.workspace
+        team = config.teams[self.team]
+        config.teams[self.team] = dataclasses.replace(
+            team, workspace=self.workspace
+        )
 
     def summary(self) -> str:
         """Says what the change does."""
--- a/packages/core/mimosaridge_core/configuration.py
+++ b/packages/core/mimosaridge_core/configuration.py
@@ -137,3 +137,17 @@
     audit: list[AuditEntry] = dataclasses.field(default_factory=list)
     audit_page: str = ""
     bootstrapped: bool = False
+
+
+def copy_of(config: Config) -> Config:
+    """Returns a copy whose items are shared; they must not be altered."""
+    return dataclasses.replace(
+        config,
+        teams=dict(config.teams),
+        keys=dict(config.keys),
+        queues=dict(config.queues),
+        services=dict(config.services),
+        zones_out=list(config.zones_out),
+        workers_out=list(config.workers_out),
+        audit=list(config.audit),
+    )
--- a/packages/core/mimosaridge_core/operators.py
+++ b/packages/core/mimosaridge_core/operators.py
@@ -16,7 +16,7 @@
 from mimosaridge_core import sections
 from mimosaridge_core import state
 
-CONFIRM_S = 7.0
+CONFIRM_S = 6.0
 IN_FORCE_S = 1.5
 
 
--- a/packages/core/mimosaridge_core/plans.py
+++ b/packages/core/mimosaridge_core/plans.py
@@ -1,7 +1,6 @@
 """What a change would start, stop, move or break."""
 
 from collections.abc import Callable
-import copy
 import dataclasses
 from typing import Any
 
@@ -49,7 +48,7 @@
     Raises:
         InvalidError: The present configuration does not allow the change.
     """
-    new = copy.deepcopy(config)
+    new = configuration.copy_of(config)
     new.number = config.number + 1
     stated.apply(new)
     return new
--- a/packages/daemon/mimosaridge_daemon/api.py
+++ b/packages/daemon/mimosaridge_daemon/api.py
@@ -12,6 +12,7 @@
 from mimosaridge_core import codes
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import plans
 from mimosaridge_core import works
 from mimosaridge_daemon import codec
 from mimosaridge_daemon import engine as engines
@@ -246,7 +247,8 @@
             ),
             OPERATOR_TIMEOUT_S,
         )
-        return self._typed(reply, "confirmed")
+        conflict = isinstance(reply.payload, plans.Plan)
+        return self._typed(reply, "plan" if conflict else "confirmed")
 
     def section(self, section: str) -> str:
         """Returns a section of the configuration."""
