--- a/packages/core/mimosaridge_core/allowances.py
+++ b/packages/core/mimosaridge_core/allowances.py
@@ -19,6 +19,7 @@
 from mimosaridge_core import messages
 from mimosaridge_core import overuse
 from mimosaridge_core import resources
+from mimosaridge_core import rooms
 from mimosaridge_core import scheduling
 from mimosaridge_core import shards
 from mimosaridge_core import state
@@ -353,7 +354,7 @@
     if not limits.since(team, draft):
         return True
     for name in st.partition_names:
-        if not name.startswith("shard-"):
+        if not name.startswith(rooms.PREFIX):
             continue
         part = draft.parts.get(name)
         if part is None or part.number < limits.since(team, draft):
