--- a/packages/core/mimosaridge_core/configuration.py
+++ b/packages/core/mimosaridge_core/configuration.py
@@ -16,7 +16,7 @@
         share: Weight of its claim when all is full.
         upper_limit: Most that it may have running; zero means no limit.
         limited_since: Configuration that last limited a resource that had
-            no limit before.
+            no limit before; 0 if the team never ran without its limit.
     """
 
     name: str
@@ -92,6 +92,8 @@
         summary: What was changed, in a sentence.
         revision_before: Configuration number before the change.
         revision_after: Configuration number after the change.
+        intent: The change as it was stated, without secrets.
+        plan: The plan's lines at the time of the confirm.
     """
 
     change_id: str
@@ -100,6 +102,8 @@
     summary: str
     revision_before: int
     revision_after: int
+    intent: str = ""
+    plan: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,7 +120,10 @@
         zones_out: Availability zones taken out.
         workers_out: Workers set aside by operators.
         policy: Name of the placement policy.
+        removed_teams: Names of teams that were removed.
         audit: The latest changes, oldest first.
+        audit_page: Key of the page that keeps the changes before them.
+        bootstrapped: Whether an operator's key was ever granted.
     """
 
     number: int = 0
@@ -128,4 +135,22 @@
     zones_out: list[str] = dataclasses.field(default_factory=list)
     workers_out: list[str] = dataclasses.field(default_factory=list)
     policy: str = "best-fit"
+    removed_teams: list[str] = dataclasses.field(default_factory=list)
     audit: list[AuditEntry] = dataclasses.field(default_factory=list)
+    audit_page: str = ""
+    bootstrapped: bool = False
+
+
+def copy_of(config: Config) -> Config:
+    """Returns a copy whose items are shared; they must not be altered."""
+    return dataclasses.replace(
+        config,
+        teams=dict(config.teams),
+        keys=dict(config.keys),
+        queues=dict(config.queues),
+        services=dict(config.services),
+        zones_out=list(config.zones_out),
+        workers_out=list(config.workers_out),
+        removed_teams=list(config.removed_teams),
+        audit=list(config.audit),
+    )
--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -13,6 +13,7 @@
 LEDGERS = "ledgers/"
 ACCOUNTS = "accounts/"
 ALLOWANCES = "allowances/"
+AUDIT = "audit/"
 
 
 @dataclasses.dataclass(slots=True)
@@ -129,10 +130,26 @@
     Attributes:
         number: Latest configuration under which it was written.
         parts: Parts by shard.
+        since: Configuration under which an earlier document was found lost;
+            parts counted before it don't count.
     """
 
     number: int = 0
     parts: dict[str, Part] = dataclasses.field(default_factory=dict)
+    since: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class AuditPage:
+    """Changes that the configuration document no longer carries.
+
+    Attributes:
+        previous: Key of the page before; empty for the first.
+        entries: The changes, oldest first.
+    """
+
+    previous: str
+    entries: list[configuration.AuditEntry]
 
 
 KINDS: dict[str, type] = {
@@ -142,6 +159,7 @@
     LEDGERS: Ledger,
     ACCOUNTS: Page,
     ALLOWANCES: Allowances,
+    AUDIT: AuditPage,
 }
 
 
--- a/packages/core/mimosaridge_core/shards.py
+++ b/packages/core/mimosaridge_core/shards.py
@@ -51,6 +51,7 @@
         worker.leaving = worker.leaving or host.leaving
     for worker_id, worker in list(shard.workers.items()):
         worker.listed = worker_id in members and worker_id in st.hosts
+        worker.set_aside = worker_id in st.config.workers_out
         rooms.reindex(shard, worker)
     rooms.count_capacity(shard)
 
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -101,6 +101,7 @@
         listed: Whether the host list has it.
         displaced: Whether a newer owner has claimed it.
         lease_ends: When its task leases have surely ended.
+        set_aside: Whether operators set it aside.
     """
 
     host: events.Host
@@ -113,6 +114,7 @@
     listed: bool = True
     displaced: bool = False
     lease_ends: float = 0.0
+    set_aside: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -404,6 +406,9 @@
     store_heard_at: float = 0.0
     word_at: float = 0.0
     daemons_listed: bool = False
+    config_asked_at: float = 0.0
+    audit_written: str = ""
+    spreading: list[Any] = dataclasses.field(default_factory=list)
     lease_id: str = ""
     lease_until: float = 0.0
     renew_at: float = 0.0
@@ -427,6 +432,7 @@
     shards: dict[str, Shard] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     books: dict[str, limits.Book] = dataclasses.field(default_factory=dict)
+    books_at: float = 0.0
     store_calls: float = 0.0
     store_calls_at: float = 0.0
     works: dict[str, HomeWork] = dataclasses.field(default_factory=dict)
--- a/packages/daemon/mimosaridge_daemon/api.py
+++ b/packages/daemon/mimosaridge_daemon/api.py
@@ -12,6 +12,7 @@
 from mimosaridge_core import codes
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import plans
 from mimosaridge_core import works
 from mimosaridge_daemon import codec
 from mimosaridge_daemon import engine as engines
@@ -78,6 +79,8 @@
             ("GET", "/v1/status", self.status),
             ("POST", "/v1/plans", self.plan),
             ("POST", "/v1/confirmations", self.confirm),
+            ("GET", "/v1/configuration/<section>", self.section),
+            ("GET", "/v1/audit", self.audit),
             ("GET", "/healthz", self.health),
         )
         for method, path, handler in routes:
@@ -244,7 +247,27 @@
             ),
             OPERATOR_TIMEOUT_S,
         )
-        return self._typed(reply, "confirmed")
+        conflict = isinstance(reply.payload, plans.Plan)
+        return self._typed(reply, "plan" if conflict else "confirmed")
+
+    def section(self, section: str) -> str:
+        """Returns a section of the configuration."""
+        token = _token()
+        reply = self._call(
+            lambda now, handle: events.ConfigAsked(now, handle, token, section),
+            OPERATOR_TIMEOUT_S,
+        )
+        return self._typed(reply, "section")
+
+    def audit(self) -> str:
+        """Returns the latest changes, or an earlier page of them."""
+        token = _token()
+        page = bottle.request.query.page
+        reply = self._call(
+            lambda now, handle: events.AuditAsked(now, handle, token, page),
+            OPERATOR_TIMEOUT_S,
+        )
+        return self._typed(reply, "audit")
 
     def health(self) -> str:
         """Tells the platform's balancer whether to send callers here."""
--- a/tests/daemon/test_bad_input.py
+++ b/tests/daemon/test_bad_input.py
@@ -11,6 +11,7 @@
 
 from mimosaridge_core import changes
 from mimosaridge_core import codes
+from mimosaridge_core import configuration
 from mimosaridge_core import effects
 from mimosaridge_core import resources
 from mimosaridge_daemon import api
@@ -40,12 +41,14 @@
     int: 1,
     float: 1.0,
     resources.Resources: {"slots": 1},
+    configuration.Config: {},
 }
 ABSURD = {
     str: ("a b", "x" * 200, "/", 7),
     int: (-1, 10**30, 1.5, float("nan")),
     float: (-1.0, 1e30, float("nan"), 1e999, "x"),
     resources.Resources: ({"slots": -1}, {"slots": 10**30}, {"none": 1}, 5),
+    configuration.Config: ("x", 5, {"number": "x"}, {"zones_out": 5}),
 }
 
 
