--- a/packages/core/mimosaridge_core/fairness.py
+++ b/packages/core/mimosaridge_core/fairness.py
@@ -3,6 +3,8 @@
 Source of the share measure: dominant resource fairness (Ghodsi et al., 2011).
 """
 
+import math
+
 from mimosaridge_core import limits
 from mimosaridge_core import queueing
 from mimosaridge_core import resources
@@ -22,7 +24,17 @@
     st: state.State, shard: state.Shard, lanes: list[queueing.Lane]
 ) -> queueing.Lane:
     """Returns the lane of the team furthest below its share."""
-    return min(lanes, key=lambda lane: claim_on_share(st, shard, lane[0]))
+    return min(lanes, key=lambda lane: claim_on_share(st, shard, lane.team))
+
+
+def earliest_lane(
+    st: state.State, shard: state.Shard, lanes: list[queueing.Lane]
+) -> queueing.Lane:
+    """Returns the lane whose first task came first."""
+    heads = [(lane, shard.queue.head(lane)) for lane in lanes]
+    return min(heads, key=lambda pair: pair[1].since if pair[1] else -math.inf)[
+        0
+    ]
 
 
 def shard_names(st: state.State) -> tuple[str, ...]:
--- a/packages/core/mimosaridge_core/placement.py
+++ b/packages/core/mimosaridge_core/placement.py
@@ -9,18 +9,7 @@
 
 SCAN_LIMIT = 24
 
-Policy = Callable[["Pool", resources.Resources], str | None]
-POLICIES: dict[str, Policy] = {}
-
-
-def policy(name: str) -> Callable[[Policy], Policy]:
-    """Registers a placement policy under the name that operators choose."""
-
-    def register(chosen: Policy) -> Policy:
-        POLICIES[name] = chosen
-        return chosen
-
-    return register
+Fit = Callable[["Pool", resources.Resources], str | None]
 
 
 class Pool:
@@ -85,21 +74,19 @@
             self.pools[endpoint].drop(worker_id)
 
     def find(
-        self, name: str, endpoint: str, needs: resources.Resources
+        self, fit: Fit, endpoint: str, needs: resources.Resources
     ) -> str | None:
-        """Returns a worker with room by the named policy, or None."""
-        chosen = POLICIES.get(name, best_fit)
+        """Returns a worker with room, chosen by `fit`, or None."""
         if endpoint:
             pool = self.pools.get(endpoint)
-            return chosen(pool, needs) if pool else None
+            return fit(pool, needs) if pool else None
         for pool in self.pools.values():
-            worker_id = chosen(pool, needs)
+            worker_id = fit(pool, needs)
             if worker_id is not None:
                 return worker_id
         return None
 
 
-@policy("best-fit")
 def best_fit(pool: Pool, needs: resources.Resources) -> str | None:
     """Chooses the fullest worker that fits, sparing accelerators.
 
@@ -123,7 +110,6 @@
     return None
 
 
-@policy("first-fit")
 def first_fit(pool: Pool, needs: resources.Resources) -> str | None:
     """Chooses the first worker that fits, in the order of listing."""
     for worker_id, free in pool.free.items():
--- /dev/null
+++ b/packages/core/mimosaridge_core/policies.py
@@ -0,0 +1,65 @@
+"""Scheduling policies, by the names that operators choose from."""
+
+from collections.abc import Callable
+import dataclasses
+
+from mimosaridge_core import fairness
+from mimosaridge_core import placement
+from mimosaridge_core import queueing
+from mimosaridge_core import state
+
+Order = Callable[[state.State, state.Shard, list[queueing.Lane]], queueing.Lane]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """How an owner chooses the next task and its worker.
+
+    Attributes:
+        order: Chooses the next lane of one urgency class.
+        fit: Chooses the worker.
+        by_urgency: Whether more urgent classes go first.
+        overtakes: Whether a task may start before an earlier one of its
+            endpoint that finds no room.
+    """
+
+    order: Order
+    fit: placement.Fit
+    by_urgency: bool = True
+    overtakes: bool = True
+
+
+DEFAULT = "best-fit"
+REGISTRY: dict[str, Policy] = {}
+
+
+def policy(name: str) -> Callable[[Callable[[], Policy]], Callable]:
+    """Registers the policy that a function returns under a name."""
+
+    def register(make: Callable[[], Policy]) -> Callable[[], Policy]:
+        REGISTRY[name] = make()
+        return make
+
+    return register
+
+
+def in_force(st: state.State) -> Policy:
+    """Returns the configured policy, or the default if it is unknown."""
+    return REGISTRY.get(st.config.policy) or REGISTRY[DEFAULT]
+
+
+@policy("first-in-first-out")
+def first_in_first_out() -> Policy:
+    """Strict order of arrival at each endpoint, first worker that fits."""
+    return Policy(
+        fairness.earliest_lane,
+        placement.first_fit,
+        by_urgency=False,
+        overtakes=False,
+    )
+
+
+@policy("best-fit")
+def best_fit() -> Policy:
+    """By urgency, then by the shard's own use of each team; best fit."""
+    return Policy(fairness.next_lane, placement.best_fit)
--- a/packages/core/mimosaridge_core/queueing.py
+++ b/packages/core/mimosaridge_core/queueing.py
@@ -27,23 +27,27 @@
     since: float
 
 
-Lane = tuple[str, str]
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lane:
+    """Names the waiting tasks that are placed in order of arrival."""
+
+    urgency: works.Urgency
+    team: str
+    endpoint: str
 
 
 class Queue:
-    """Waiting tasks in lanes, one for each team and endpoint.
+    """Waiting tasks in lanes, one for each urgency, team and endpoint.
 
     Attributes:
         waiting: All waiting tasks by id and attempt.
-        lanes: For each urgency class, the lanes' tasks in order of arrival.
+        lanes: The lanes' tasks in order of arrival.
         deadlines: Heap of start deadlines; may name tasks that left.
     """
 
     def __init__(self) -> None:
         self.waiting: dict[TaskKey, Waiting] = {}
-        self.lanes: dict[
-            works.Urgency, dict[Lane, collections.deque[TaskKey]]
-        ] = {urgency: {} for urgency in works.Urgency}
+        self.lanes: dict[Lane, collections.deque[TaskKey]] = {}
         self.deadlines: list[tuple[float, TaskKey]] = []
 
     def __len__(self) -> int:
@@ -54,30 +58,28 @@
         task = waiting.task
         key = (task.task_id, task.attempt)
         self.waiting[key] = waiting
-        lanes = self.lanes[task.urgency]
-        lane = (task.team, task.endpoint)
-        lanes.setdefault(lane, collections.deque()).append(key)
+        lane = Lane(task.urgency, task.team, task.endpoint)
+        self.lanes.setdefault(lane, collections.deque()).append(key)
         heapq.heappush(self.deadlines, (task.start_before, key))
 
     def remove(self, key: TaskKey) -> Waiting | None:
         """Removes a task; its place in the lane is skipped later."""
         return self.waiting.pop(key, None)
 
-    def head(self, urgency: works.Urgency, lane: Lane) -> Waiting | None:
+    def head(self, lane: Lane) -> Waiting | None:
         """Returns the first task of a lane, or None, dropping empty lanes."""
-        lanes = self.lanes[urgency]
-        keys = lanes.get(lane)
+        keys = self.lanes.get(lane)
         while keys:
             waiting = self.waiting.get(keys[0])
             if waiting is not None:
                 return waiting
             keys.popleft()
-        lanes.pop(lane, None)
+        self.lanes.pop(lane, None)
         return None
 
-    def open_lanes(self, urgency: works.Urgency) -> list[Lane]:
-        """Returns the lanes of an urgency class that may hold tasks."""
-        return list(self.lanes[urgency])
+    def open_lanes(self) -> list[Lane]:
+        """Returns the lanes that may hold tasks."""
+        return list(self.lanes)
 
     def overdue(self, now: float) -> Iterator[Waiting]:
         """Removes and yields tasks whose start deadline has passed."""
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -3,6 +3,7 @@
 from mimosaridge_core import account
 from mimosaridge_core import effects
 from mimosaridge_core import fairness
+from mimosaridge_core import policies
 from mimosaridge_core import queueing
 from mimosaridge_core import rooms
 from mimosaridge_core import settling
@@ -11,28 +12,57 @@
 
 
 def schedule(st: state.State, shard: state.Shard, out: list) -> None:
-    """Places waiting tasks: by urgency, then the team furthest below share."""
+    """Places waiting tasks in the order of the policy in force."""
     if shard.releasing or shard.zone in st.config.zones_out:
         return
+    chosen = policies.in_force(st)
+    lanes = shard.queue.open_lanes()
+    if not chosen.by_urgency:
+        _place_lanes(st, shard, chosen, lanes, out)
+        return
     for urgency in works.Urgency:
-        lanes = shard.queue.open_lanes(urgency)
-        while lanes:
-            lane = fairness.next_lane(st, shard, lanes)
-            waiting = shard.queue.head(urgency, lane)
-            if waiting is None or not _try_place(st, shard, waiting, out):
-                lanes.remove(lane)
+        same = [lane for lane in lanes if lane.urgency == urgency]
+        _place_lanes(st, shard, chosen, same, out)
+
+
+def _place_lanes(
+    st: state.State,
+    shard: state.Shard,
+    chosen: policies.Policy,
+    lanes: list[queueing.Lane],
+    out: list,
+) -> None:
+    while lanes:
+        lane = chosen.order(st, shard, lanes)
+        waiting = shard.queue.head(lane)
+        if waiting is None:
+            lanes.remove(lane)
+        elif not _try_place(st, shard, chosen, waiting, out):
+            lanes[:] = [
+                other for other in lanes if _passes(chosen, lane, other)
+            ]
+
+
+def _passes(
+    chosen: policies.Policy, blocked: queueing.Lane, other: queueing.Lane
+) -> bool:
+    """Tells whether a lane may go on although another is blocked."""
+    if not chosen.overtakes and other.endpoint == blocked.endpoint:
+        return False
+    return other != blocked
 
 
 def _try_place(
     st: state.State,
     shard: state.Shard,
+    chosen: policies.Policy,
     waiting: queueing.Waiting,
     out: list,
 ) -> bool:
     task = waiting.task
     if not fairness.within_limit(st, shard, task):
         return False
-    worker_id = shard.index.find(st.config.policy, task.endpoint, task.needs)
+    worker_id = shard.index.find(chosen.fit, task.endpoint, task.needs)
     if worker_id is None:
         return False
     shard.queue.remove((task.task_id, task.attempt))
--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -408,6 +408,8 @@
             fields.pop("urgency", works.Urgency.NORMAL),
             self.now + fields.pop("within_s", 30.0),
             self.now,
+            fields.pop("declared_run_s", 0.0),
+            fields.pop("body", b""),
         )
         self.handle += 1
         token = fields.pop("token", f"k-{team}.secret")
