--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -333,7 +333,7 @@
     def _start(
         self, name: str, worker: workers.Worker, effect: effects.StartTask
     ) -> None:
-        task = copy.deepcopy(effect.task)
+        task = stores.independent_copy(effect.task)
         key = (task.task_id, task.attempt)
         code = codes.Code.UNKNOWN
         fresh = key not in worker.runs
