--- a/packages/core/mimosaridge_core/codes.py
+++ b/packages/core/mimosaridge_core/codes.py
@@ -12,10 +12,10 @@
     DEADLINE_PASSED = 101
     OVERLOADED = 102
     IMPOSSIBLE = 103
-    DRAINING = 104
     CANCELLED = 105
     UNKNOWN = 200
     TASK_FAILED = 201
+    ANSWER_NOT_KEPT = 202
     BAD_INPUT = 300
     TOO_LARGE = 301
     BAD_KEY = 302
@@ -23,6 +23,9 @@
     NOT_ALLOWED = 304
     NOT_FOUND = 305
     ID_EXPIRED = 306
+    ID_TAKEN = 307
+    DRAINING = 308
+    STALE_CONFIG = 309
     CONFLICT = 400
     PLAN_EXPIRED = 401
     STORE_UNAVAILABLE = 402
@@ -34,26 +37,36 @@
 MEANINGS: dict[Code, str] = {
     Code.OK: "It was done.",
     Code.ACCEPTED: "It was accepted and recorded; it will run.",
-    Code.NOT_RUN: "It did not run; it may be sent again.",
+    Code.NOT_RUN: "It did not run; it may be sent again under a new id.",
     Code.DEADLINE_PASSED: (
         "It did not run: its deadline passed before it could start; send it"
-        " again with a later deadline."
+        " again under a new id with a later deadline."
     ),
     Code.OVERLOADED: (
-        "It did not run: too much work is waiting; send it again later."
+        "It did not run: too much work is waiting; send it again later under"
+        " a new id."
     ),
     Code.IMPOSSIBLE: (
         "It did not run: no worker could ever hold it; ask for less."
     ),
     Code.DRAINING: (
-        "It did not run: this daemon is shutting down; send it to another."
+        "This daemon is shutting down and did not take it; send it to another"
+        " under the same id."
     ),
     Code.CANCELLED: "It was cancelled by its team or an operator.",
+    Code.STALE_CONFIG: (
+        "This daemon can't tell whether its configuration is still the latest"
+        " and did not take it; send it to another under the same id."
+    ),
     Code.UNKNOWN: (
         "It was sent to a worker and its fate can't be proved; check the"
         " effect before sending it again."
     ),
     Code.TASK_FAILED: "It ran and failed; the detail carries the reason.",
+    Code.ANSWER_NOT_KEPT: (
+        "It ran and ended well; its answer was too large to be kept for a"
+        " later call."
+    ),
     Code.BAD_INPUT: "The input is malformed; the detail names each field.",
     Code.TOO_LARGE: "The input is larger than this daemon takes.",
     Code.BAD_KEY: "The key is missing, unknown or withdrawn.",
@@ -61,7 +74,11 @@
     Code.NOT_ALLOWED: "The key's role does not allow this.",
     Code.NOT_FOUND: "There is no such thing.",
     Code.ID_EXPIRED: (
-        "It did not run: its id is older than outcomes are kept; send it"
+        "This call did not start it: its id is older than outcomes are kept;"
+        " what became of an earlier call with this id is no longer known."
+    ),
+    Code.ID_TAKEN: (
+        "This call did not start it: other work has the same id; send it"
         " under a new id."
     ),
     Code.CONFLICT: (
@@ -79,5 +96,9 @@
 
 
 def is_not_run(code: Code) -> bool:
-    """Tells whether the code promises that the work never ran."""
-    return 100 <= code < 200 or 300 <= code < 400
+    """Tells whether the code promises that the work never ran.
+
+    Work whose outcome is recorded keeps it under its id. The codes from 300
+    on speak of one call; they say nothing of others with the same id.
+    """
+    return 100 <= code < 200
--- a/packages/core/mimosaridge_core/policies.py
+++ b/packages/core/mimosaridge_core/policies.py
@@ -5,10 +5,9 @@
 
 from mimosaridge_core import fairness
 from mimosaridge_core import placement
-from mimosaridge_core import queueing
 from mimosaridge_core import state
 
-Order = Callable[[state.State, state.Shard, list[queueing.Lane]], queueing.Lane]
+Claim = Callable[[state.State, state.Shard, str], float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,14 +15,15 @@
     """How an owner chooses the next task and its worker.
 
     Attributes:
-        order: Chooses the next lane of one urgency class.
+        claim: Returns a team's use over its share; the least goes first.
+            None for order of arrival.
         fit: Chooses the worker.
         by_urgency: Whether more urgent classes go first.
         overtakes: Whether a task may start before an earlier one of its
             endpoint that finds no room.
     """
 
-    order: Order
+    claim: Claim | None
     fit: placement.Fit
     by_urgency: bool = True
     overtakes: bool = True
@@ -52,7 +52,7 @@
 def first_in_first_out() -> Policy:
     """Strict order of arrival at each endpoint, first worker that fits."""
     return Policy(
-        fairness.earliest_lane,
+        None,
         placement.first_fit,
         by_urgency=False,
         overtakes=False,
@@ -62,4 +62,4 @@
 @policy("best-fit")
 def best_fit() -> Policy:
     """By urgency, then by the shard's own use of each team; best fit."""
-    return Policy(fairness.next_lane, placement.best_fit)
+    return Policy(fairness.claim_on_share, placement.best_fit)
--- a/packages/core/mimosaridge_core/queueing.py
+++ b/packages/core/mimosaridge_core/queueing.py
@@ -36,6 +36,11 @@
     endpoint: str
 
 
+def lane_of(task: works.Task) -> Lane:
+    """Returns the lane that a task waits in."""
+    return Lane(task.urgency, task.team, task.endpoint)
+
+
 class Queue:
     """Waiting tasks in lanes, one for each urgency, team and endpoint.
 
@@ -58,7 +63,7 @@
         task = waiting.task
         key = (task.task_id, task.attempt)
         self.waiting[key] = waiting
-        lane = Lane(task.urgency, task.team, task.endpoint)
+        lane = lane_of(task)
         self.lanes.setdefault(lane, collections.deque()).append(key)
         heapq.heappush(self.deadlines, (task.start_before, key))
 
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -1,69 +1,173 @@
 """Choosing the next waiting task and a worker for it."""
 
+import heapq
+import math
+
 from mimosaridge_core import account
+from mimosaridge_core import dispatch
 from mimosaridge_core import effects
 from mimosaridge_core import fairness
 from mimosaridge_core import policies
 from mimosaridge_core import queueing
+from mimosaridge_core import resources
 from mimosaridge_core import rooms
 from mimosaridge_core import settling
 from mimosaridge_core import state
 from mimosaridge_core import works
 
 
+class Pass:
+    """What one pass over the lanes has learned; room only shrinks in it.
+
+    Attributes:
+        chosen: The policy in force.
+        claims: Each team's claim on its share, until it gets more room.
+        refused: For each endpoint, needs that found no worker.
+        blocked: Endpoints whose earliest task found no room, if the policy
+            lets no later one overtake it.
+    """
+
+    def __init__(self, chosen: policies.Policy) -> None:
+        self.chosen = chosen
+        self.blocked: set[str] = set()
+        self.claims: dict[str, float] = {}
+        self.refused: dict[str, list[resources.Resources]] = {}
+
+    def claim(self, st: state.State, shard: state.Shard, team: str) -> float:
+        """Returns a team's claim on its share."""
+        claim = self.claims.get(team)
+        if claim is None:
+            claim = self.chosen.claim(st, shard, team)
+            self.claims[team] = claim
+        return claim
+
+    def rank(
+        self, st: state.State, shard: state.Shard, lane: queueing.Lane
+    ) -> float:
+        """Returns a number by which the lowest lane goes first."""
+        if self.chosen.claim is not None:
+            return self.claim(st, shard, lane.team)
+        waiting = shard.queue.head(lane)
+        return waiting.since if waiting else -math.inf
+
+    def is_refused(self, task: works.Task) -> bool:
+        """Tells whether a task that needs no more found no worker."""
+        refused = self.refused.get(task.endpoint, ())
+        return any(needs.fits(task.needs) for needs in refused)
+
+    def refuse(self, task: works.Task) -> None:
+        """Notes that a task found no worker."""
+        if not self.chosen.overtakes:
+            self.blocked.add(task.endpoint)
+        self.refused.setdefault(task.endpoint, []).append(task.needs)
+
+
 def schedule(st: state.State, shard: state.Shard, out: list) -> None:
-    """Places waiting tasks in the order of the policy in force."""
-    if shard.releasing or shard.zone in st.config.zones_out:
+    """Places waiting tasks in the order of the policy in force.
+
+    Whatever frees room, lifts a limit or brings a zone back calls this, so
+    that between two calls no waiting task can be placed but a new one.
+    """
+    if _is_closed(st, shard):
         return
-    chosen = policies.in_force(st)
+    learned = Pass(policies.in_force(st))
     lanes = shard.queue.open_lanes()
-    if not chosen.by_urgency:
-        _place_lanes(st, shard, chosen, lanes, out)
+    if not learned.chosen.by_urgency:
+        _place_lanes(st, shard, lanes, learned, out)
         return
     for urgency in works.Urgency:
         same = [lane for lane in lanes if lane.urgency == urgency]
-        _place_lanes(st, shard, chosen, same, out)
+        _place_lanes(st, shard, same, learned, out)
+
+
+def schedule_new(
+    st: state.State,
+    shard: state.Shard,
+    waiting: queueing.Waiting,
+    out: list,
+) -> None:
+    """Places a task that was just added, if it is the first of its lane."""
+    if _is_closed(st, shard):
+        return
+    learned = Pass(policies.in_force(st))
+    if not learned.chosen.overtakes:
+        schedule(st, shard, out)
+    elif shard.queue.head(queueing.lane_of(waiting.task)) is waiting:
+        _try_place(st, shard, waiting, learned, out)
+
+
+def _is_closed(st: state.State, shard: state.Shard) -> bool:
+    return shard.releasing or shard.zone in st.config.zones_out
+
+
+@dispatch.when_configured
+def schedule_all(st: state.State, out: list) -> None:
+    """Places what a new configuration allows."""
+    for shard in st.shards.values():
+        schedule(st, shard, out)
+
+
+def _may_place(shard: state.Shard, lane: queueing.Lane) -> bool:
+    waiting = shard.queue.head(lane)
+    if waiting is None:
+        return False
+    return waiting.task.needs.slots <= 0 or not shard.index.is_full(
+        lane.endpoint
+    )
 
 
 def _place_lanes(
     st: state.State,
     shard: state.Shard,
-    chosen: policies.Policy,
     lanes: list[queueing.Lane],
+    learned: Pass,
     out: list,
 ) -> None:
-    while lanes:
-        lane = chosen.order(st, shard, lanes)
+    ranked = [
+        (learned.rank(st, shard, lane), position, lane)
+        for position, lane in enumerate(lanes)
+        if _may_place(shard, lane)
+    ]
+    heapq.heapify(ranked)
+    while ranked:
+        rank, position, lane = heapq.heappop(ranked)
+        present = learned.rank(st, shard, lane)
+        if present != rank:
+            heapq.heappush(ranked, (present, position, lane))
+            continue
         waiting = shard.queue.head(lane)
         if waiting is None:
-            lanes.remove(lane)
-        elif not _try_place(st, shard, chosen, waiting, out):
-            lanes[:] = [
-                other for other in lanes if _passes(chosen, lane, other)
-            ]
+            continue
+        if _try_place(st, shard, waiting, learned, out):
+            learned.claims.pop(lane.team, None)
+            present = learned.rank(st, shard, lane)
+            heapq.heappush(ranked, (present, position, lane))
 
 
-def _passes(
-    chosen: policies.Policy, blocked: queueing.Lane, other: queueing.Lane
-) -> bool:
-    """Tells whether a lane may go on although another is blocked."""
-    if not chosen.overtakes and other.endpoint == blocked.endpoint:
+def lacks_room(st: state.State, shard: state.Shard, task: works.Task) -> bool:
+    """Tells whether room is all that keeps a waiting task from starting."""
+    if not fairness.within_limit(st, shard, task):
         return False
-    return other != blocked
+    fit = policies.in_force(st).fit
+    found = shard.index.find(fit, task.endpoint, task.needs)
+    return found is None
 
 
 def _try_place(
     st: state.State,
     shard: state.Shard,
-    chosen: policies.Policy,
     waiting: queueing.Waiting,
+    learned: Pass,
     out: list,
 ) -> bool:
     task = waiting.task
+    if learned.is_refused(task) or task.endpoint in learned.blocked:
+        return False
     if not fairness.within_limit(st, shard, task):
         return False
-    worker_id = shard.index.find(chosen.fit, task.endpoint, task.needs)
+    worker_id = shard.index.find(learned.chosen.fit, task.endpoint, task.needs)
     if worker_id is None:
+        learned.refuse(task)
         return False
     shard.queue.remove((task.task_id, task.attempt))
     worker = shard.workers[worker_id]
@@ -72,6 +176,8 @@
     waited_ms = (st.now - waiting.since) * 1000
     if waiting.hold:
         placed.hold_until = st.now + st.tuning.hold_s
+        key = (task.task_id, task.attempt)
+        heapq.heappush(shard.holds, (placed.hold_until, key))
         text = f"Room on worker {worker_id} is held for it."
         settling.note_task(st, shard, task, account.Rule.RESERVATION, text, out)
         settling.tell(st, shard, task, works.Phase.HELD, worker, out)
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -13,11 +13,16 @@
         store_lease_s: Life of the daemon's lease in the store.
         settle_s: How long membership must stand before partitions move.
         resend_s: Before an unanswered message is sent again.
+        rebalance_s: How long a task waits in a shard without room before it
+            goes back to its home if another shard has room.
         hold_s: How long room is held for an all-at-once job.
         worker_lease_s: Life of a worker's task leases.
         lease_margin_s: Added before a lease counts as surely ended.
         flush_s: Least time between two writes of one ledger.
         retention_s: How long outcomes are kept.
+        answer_s: How long whole answers are kept that no ledger holds.
+        proof_s: After its deadline, how long a caller is kept waiting for
+            proof of what became of its work.
         skew_s: Largest difference between hosts' clocks.
         buckets: Number of ledgers.
         ledger_bytes: Body bytes that one ledger takes before it refuses work.
@@ -33,11 +38,14 @@
     store_lease_s: float = 6.0
     settle_s: float = 1.0
     resend_s: float = 1.0
+    rebalance_s: float = 0.3
     hold_s: float = 5.0
     worker_lease_s: float = 20.0
     lease_margin_s: float = 2.0
     flush_s: float = 0.03
     retention_s: float = 600.0
+    answer_s: float = 60.0
+    proof_s: float = 10.0
     skew_s: float = 1.0
     buckets: int = 16
     ledger_bytes: int = 700_000
--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -63,6 +63,10 @@
             and worker ids count as names.
         replies: Replies to callers, by daemon and handle.
         records: All decisions.
+        late_writes: This many store writes take effect only after `late_s`;
+            their answers are lost.
+        late_messages: This many peer messages are late by `late_s`.
+        late_s: How late, in seconds.
     """
 
     def __init__(
@@ -84,6 +88,9 @@
         self.cuts: set[tuple[str, str]] = set()
         self.replies: dict[tuple[str, int], effects.Reply] = {}
         self.records: list[account.Record] = []
+        self.late_writes = 0
+        self.late_messages = 0
+        self.late_s = 0.0
         self.agenda: list[tuple[float, int, str, Any]] = []
         self.waiting: dict[str, list[events.Event]] = {}
         self.seen: dict[str, int] = {}
@@ -189,7 +196,8 @@
                 self._report(worker, report)
 
     def _watch(self, name: str) -> None:
-        if self.store.down or (name, "store") in self.cuts:
+        cut = (name, "store") in self.cuts
+        if self.store.down or cut or name in self.paused:
             return
         seen = self.seen.get(name)
         self.seen[name] = len(self.store.changes)
@@ -197,13 +205,14 @@
             for prefix in WATCHED:
                 self.post(name, self.store.listed(prefix, self.now))
             return
-        self.post(name, events.StoreHeard(self.now))
         for key, value, revision in self.store.changes[seen:]:
             if key.startswith(WATCHED):
                 changed = events.StoreChanged(
                     self.now, key, copy.deepcopy(value), revision
                 )
                 self.post(name, changed)
+        for prefix in WATCHED:
+            self.post(name, events.StoreHeard(self.now, prefix, self.now))
 
     def _deliver(self, name: str, event: events.Event) -> None:
         if name not in self.daemons:
@@ -241,9 +250,17 @@
     def _send(self, name: str, effect: effects.SendPeer) -> None:
         if (name, effect.daemon) in self.cuts:
             return
+        if effect.daemon not in self.daemons:
+            refused = events.PeerRefused(self.now, effect.daemon)
+            self.post(name, refused, DELAY_S)
+            return
         message = pickle.loads(pickle.dumps(effect.message))
         event = events.PeerMessage(self.now, name, message)
-        self.post(effect.daemon, event, DELAY_S)
+        delay_s = DELAY_S
+        if self.late_messages > 0 and name != effect.daemon:
+            self.late_messages -= 1
+            delay_s = self.late_s
+        self.post(effect.daemon, event, delay_s)
 
     def _store(self, name: str, effect: Any) -> None:
         lease = self.daemons[name].lease_id
@@ -251,7 +268,7 @@
         down = self.store.down
         self.store.down = down or cut
         if isinstance(effect, effects.StoreWrite):
-            answer = self.store.write(effect, lease, self.now)
+            answer = self._write(effect, lease)
         elif isinstance(effect, effects.StoreRead):
             answer = self.store.read(effect, self.now)
         else:
@@ -260,6 +277,20 @@
         late = getattr(answer, "result", "") == "unknown"
         self.post(name, answer, RETRY_S if late else DELAY_S)
 
+    def _write(
+        self, effect: effects.StoreWrite, lease: str
+    ) -> events.StoreAnswered:
+        if self.late_writes == 0 or self.store.down:
+            return self.store.write(effect, lease, self.now)
+        self.late_writes -= 1
+        late = copy.deepcopy(effect)
+        self._at(
+            self.now + self.late_s,
+            "",
+            lambda: self.store.write(late, lease, self.now),
+        )
+        return events.StoreAnswered(self.now, effect.op_id, "unknown")
+
     def _worker(self, name: str, effect: Any) -> None:
         worker = self.workers[effect.worker_id]
         if isinstance(effect, effects.DropWorker):
@@ -423,6 +454,19 @@
         self.post(name, event)
         return work.work_id, self.handle
 
+    def cancel(self, name: str, team: str, work_id: str) -> int:
+        """Cancels work through a daemon; returns the reply's handle."""
+        self.handle += 1
+        event = events.WorkQueried(
+            self.now, self.handle, f"k-{team}.secret", work_id, cancel=True
+        )
+        self.post(name, event)
+        return self.handle
+
+    def drain(self, name: str) -> None:
+        """Asks a daemon to shut down."""
+        self.post(name, events.DrainAsked(self.now))
+
     def ready(self) -> bool:
         """Tells whether every partition has one owner that knows all."""
         owned = [
--- a/standins/mimosaridge_fakes/stores.py
+++ b/standins/mimosaridge_fakes/stores.py
@@ -126,4 +126,5 @@
             self.revision,
             {key: independent_copy(item.value) for key, item in found.items()},
             {key: item.revision for key, item in found.items()},
+            now,
         )
