--- a/packages/core/mimosaridge_core/messages.py
+++ b/packages/core/mimosaridge_core/messages.py
@@ -64,6 +64,8 @@
         sent_at: When it was sent, seconds since the epoch.
         word_at: Time up to which its configuration is known to be the
             latest, seconds since the epoch.
+        with_teams: Whether the summaries tell what teams use; otherwise what
+            an earlier heartbeat told still counts.
     """
 
     url: str
@@ -74,6 +76,7 @@
     summaries: list[ShardSummary]
     sent_at: float
     word_at: float
+    with_teams: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -176,6 +179,7 @@
         phase: Where the task stands.
         worker: Worker that it runs on, if any.
         outcome: Code, detail and answer of a settled attempt.
+        lines: What the owner decided about a settled attempt.
     """
 
     task_id: str
@@ -186,6 +190,7 @@
     phase: works.Phase
     worker: str = ""
     outcome: works.Outcome | None = None
+    lines: list[account.Line] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -217,10 +222,30 @@
 
 @dataclasses.dataclass(slots=True)
 class AccountPage:
-    """A peer's records of some work."""
+    """What a peer knows of some work."""
 
     query_id: int
-    records: list[account.Record]
+    lines: list[account.Line]
+
+
+@dataclasses.dataclass(slots=True)
+class AskAllowance:
+    """Asks an owner to give up unused allowance of a team.
+
+    Attributes:
+        team: The team.
+        needs: What the asking shard needs.
+    """
+
+    team: str
+    needs: resources.Resources
+
+
+@dataclasses.dataclass(slots=True)
+class AllowanceFreed:
+    """Allowance of a team was given up in the store."""
+
+    team: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -322,6 +347,8 @@
     UpdateTaken,
     AskAccount,
     AccountPage,
+    AskAllowance,
+    AllowanceFreed,
     AskStanding,
     StandingPage,
     AskHistory,
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -1,6 +1,7 @@
 """What became of tasks, and of the work that they belong to."""
 
 from mimosaridge_core import account
+from mimosaridge_core import archives
 from mimosaridge_core import buckets
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
@@ -44,6 +45,7 @@
         return
     if message.outcome is not None:
         _confirm(st, work, sender, taken, out)
+        archives.keep_lines(work, message.lines)
     if current:
         _apply(st, work, index, message, out)
     bucket = st.buckets.get(work.home)
@@ -207,6 +209,8 @@
         return spec.start_before > st.now
     if not spec.idempotent or message.phase == works.Phase.DONE:
         return False
+    if message.outcome.code == codes.Code.OVER_LIMIT:
+        return True
     if spec.kind == works.Kind.REQUEST and message.phase == works.Phase.FAILED:
         return False
     return work.tasks[index].failures + 1 < st.tuning.attempts
@@ -226,7 +230,8 @@
     if _was_moved(work, message):
         dispatching.assign(st, work, index, out)
         return
-    task.failures += 1
+    if message.outcome.code != codes.Code.OVER_LIMIT:
+        task.failures += 1
     ceiling = min(
         LONGEST_RETRY_S, dispatching.FIRST_RETRY_S * 2 ** min(task.failures, 8)
     )
@@ -320,7 +325,7 @@
     entry.outcome = _kept(outcome)
     entry.settled_at = st.now
     work_id = entry.work.work_id
-    text = codes.MEANINGS[outcome.code]
+    text = f"{codes.MEANINGS[outcome.code]} {outcome.detail}".rstrip()
     state.note(st, out, account.Rule.SETTLED, text, work_id, code=outcome.code)
     work.whole = outcome
     bucket = st.buckets.get(work.home)
--- a/packages/core/mimosaridge_core/rebalancing.py
+++ b/packages/core/mimosaridge_core/rebalancing.py
@@ -3,6 +3,7 @@
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import messages
+from mimosaridge_core import policies
 from mimosaridge_core import queueing
 from mimosaridge_core import resources
 from mimosaridge_core import routing
@@ -20,9 +21,12 @@
     if not any(len(shard.queue) for shard in st.shards.values()):
         return
     rooms = _rooms(st)
+    chosen = policies.in_force(st)
+    elsewhere = {name: scheduling.Pass(chosen) for name in st.shards}
     for shard in st.shards.values():
         for lane in shard.queue.open_lanes():
-            _give_back(st, shard, lane, rooms, out)
+            learned = elsewhere[shard.name]
+            _give_back(st, shard, lane, rooms, learned, out)
 
 
 def _rooms(st: state.State) -> dict[str, list[messages.Room]]:
@@ -48,10 +52,11 @@
     shard: state.Shard,
     lane: queueing.Lane,
     rooms: dict[str, list[messages.Room]],
+    learned: scheduling.Pass,
     out: list,
 ) -> None:
     waiting = shard.queue.head(lane)
-    while waiting is not None and _moves(st, shard, waiting, rooms):
+    while waiting is not None and _moves(st, shard, waiting, rooms, learned):
         task = waiting.task
         shard.queue.remove((task.task_id, task.attempt))
         outcome = works.Outcome(
@@ -67,12 +72,13 @@
     shard: state.Shard,
     waiting: queueing.Waiting,
     rooms: dict[str, list[messages.Room]],
+    learned: scheduling.Pass,
 ) -> bool:
     """Tells whether a task goes back, and takes its room elsewhere."""
     task = waiting.task
     if st.now - waiting.since < st.tuning.rebalance_s:
         return False
-    if not scheduling.lacks_room(st, shard, task):
+    if learned.is_refused(task) or not scheduling.lacks_room(st, shard, task):
         return False
     for name, candidates in rooms.items():
         if name == shard.name:
@@ -81,6 +87,7 @@
             if _takes(room, task.endpoint, task.needs):
                 room.free = room.free - task.needs
                 return True
+    learned.refuse(task)
     return False
 
 
