Make room for urgent tasks, count shares fleet-wide, empty left zones

Cause: an urgent task waited behind running batch work; shares counted one shard's use only; tasks queued in a zone that was taken out waited there until it came back. Ruled out: stopping requests or services (their callers wait); a second queue for reserved room (a reserved worker leaves the index instead). Seen failing with preemption off (policy zone-return in tests/core/test_preemption): no urgent start in 5.5 s, and no task resumed.

--- a/packages/core/mimosaridge_core/account.py
+++ b/packages/core/mimosaridge_core/account.py
@@ -19,6 +19,7 @@
     QUEUED = "queued"
     PLACEMENT = "placement"
     RESERVATION = "reservation"
+    PREEMPTION = "preemption"
     STARTED = "started"
     ENDED = "ended"
     RETRY = "retry"
--- a/packages/core/mimosaridge_core/codes.py
+++ b/packages/core/mimosaridge_core/codes.py
@@ -33,6 +33,7 @@
     NO_ROOM = 501
     WORKER_UNREACHABLE = 502
     OVER_LIMIT = 503
+    PREEMPTED = 504
 
 
 MEANINGS: dict[Code, str] = {
@@ -93,6 +94,10 @@
     Code.STALE_EPOCH: "A newer owner has claimed the worker.",
     Code.NO_ROOM: "The worker has no room for it.",
     Code.WORKER_UNREACHABLE: "The worker does not answer.",
+    Code.PREEMPTED: (
+        "It was stopped with a checkpoint for more urgent work; it goes on"
+        " when there is room."
+    ),
     Code.OVER_LIMIT: (
         "It was stopped because its team's upper limit was lowered; it starts"
         " again when the limit allows."
--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -86,7 +86,7 @@
         state.note(st, out, account.Rule.ROUTING, text, spec.work_id, task_id)
     message = messages.PlaceTask(
         assignment.shard,
-        routing.task_of(spec, index, assignment.attempt, work.home),
+        routing.task_of(spec, index, assignment, work.home),
         assignment.epoch,
         hold=spec.kind == works.Kind.GANG,
         resent=task.sent,
--- a/packages/core/mimosaridge_core/effects.py
+++ b/packages/core/mimosaridge_core/effects.py
@@ -110,13 +110,24 @@
 
 @dataclasses.dataclass(slots=True)
 class StopTask:
-    """Stops a task on a worker; its end comes as an event."""
+    """Stops a task on a worker; its end comes as an event.
+
+    Attributes:
+        worker_id: The worker.
+        url: Where it is reached.
+        epoch: The owner's epoch.
+        task_id: The task.
+        attempt: The attempt.
+        checkpoint: Whether its progress is saved; its end then carries the
+            checkpoint as its answer.
+    """
 
     worker_id: str
     url: str
     epoch: int
     task_id: str
     attempt: int
+    checkpoint: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/fairness.py
+++ b/packages/core/mimosaridge_core/fairness.py
@@ -17,6 +17,23 @@
     return used.dominant_fraction(st.fleet) / share
 
 
+def fleet_claim(st: state.State, shard: state.Shard, team: str) -> float:
+    """Returns a team's dominant use of the whole fleet over its share.
+
+    Peers' shards count as their owners last described them.
+    """
+    used = resources.ZERO
+    for own in st.shards.values():
+        used = used + own.team_use.get(team, resources.ZERO)
+    for member in st.members.values():
+        for summary in member.summaries.values():
+            if summary.shard not in st.shards:
+                used = used + summary.team_use.get(team, resources.ZERO)
+    known = st.config.teams.get(team)
+    share = known.share if known else 1.0
+    return used.dominant_fraction(st.fleet) / share
+
+
 def within_limit(st: state.State, shard: state.Shard, task: works.Task) -> bool:
     """Tells whether the shard's part of the team's limit has room.
 
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -13,6 +13,7 @@
 from mimosaridge_core import state
 from mimosaridge_core import works
 
+STOPPED_BY_OWNER = (codes.Code.OVER_LIMIT, codes.Code.PREEMPTED)
 LONGEST_RETRY_S = 5.0
 KEPT_ANSWER_BYTES = 4096
 SKEWS_BEFORE_FORGOTTEN = 4
@@ -209,7 +210,7 @@
         return spec.start_before > st.now
     if not spec.idempotent or message.phase == works.Phase.DONE:
         return False
-    if message.outcome.code == codes.Code.OVER_LIMIT:
+    if message.outcome.code in STOPPED_BY_OWNER:
         return True
     if spec.kind == works.Kind.REQUEST and message.phase == works.Phase.FAILED:
         return False
@@ -230,7 +231,7 @@
     if _was_moved(work, message):
         dispatching.assign(st, work, index, out)
         return
-    if message.outcome.code != codes.Code.OVER_LIMIT:
+    if message.outcome.code not in STOPPED_BY_OWNER:
         task.failures += 1
     ceiling = min(
         LONGEST_RETRY_S, dispatching.FIRST_RETRY_S * 2 ** min(task.failures, 8)
@@ -255,8 +256,8 @@
 
 
 def _was_moved(work: state.HomeWork, message: messages.TaskUpdate) -> bool:
-    """Tells whether a shard gave a task back because another has room."""
-    moved = message.outcome.code == codes.Code.NO_ROOM
+    """Tells whether a shard gave a task back to be sent elsewhere at once."""
+    moved = message.outcome.code in (codes.Code.NO_ROOM, codes.Code.PREEMPTED)
     return moved and work.entry.work.kind != works.Kind.GANG
 
 
--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -8,6 +8,7 @@
 from mimosaridge_core import rooms
 from mimosaridge_core import scheduling
 from mimosaridge_core import settling
+from mimosaridge_core import starting
 from mimosaridge_core import state
 from mimosaridge_core import summaries
 from mimosaridge_core import works
@@ -106,7 +107,7 @@
         return
     worker = shard.workers[shard.places[key]]
     if worker.placed[key].phase == works.Phase.HELD:
-        scheduling.send_start(shard, worker, worker.placed[key], out)
+        starting.send_start(shard, worker, worker.placed[key], out)
 
 
 @dispatch.receives(messages.CancelTask)
--- a/packages/core/mimosaridge_core/policies.py
+++ b/packages/core/mimosaridge_core/policies.py
@@ -21,12 +21,17 @@
         by_urgency: Whether more urgent classes go first.
         overtakes: Whether a task may start before an earlier one of its
             endpoint that finds no room.
+        returns: Whether tasks that wait in a zone that is taken out go back
+            to their homes at once, to be sent elsewhere.
+        preempts: Whether idempotent batch tasks make room for urgent ones.
     """
 
     claim: Claim | None
     fit: placement.Fit
     by_urgency: bool = True
     overtakes: bool = True
+    returns: bool = False
+    preempts: bool = False
 
 
 DEFAULT = "best-fit"
@@ -63,3 +68,21 @@
 def best_fit() -> Policy:
     """By urgency, then by the shard's own use of each team; best fit."""
     return Policy(fairness.claim_on_share, placement.best_fit)
+
+
+@policy("fleet-share")
+def fleet_share() -> Policy:
+    """As best-fit, with each team's use counted over the whole fleet."""
+    return dataclasses.replace(best_fit(), claim=fairness.fleet_claim)
+
+
+@policy("zone-return")
+def zone_return() -> Policy:
+    """As fleet-share; nothing waits in a zone that is taken out."""
+    return dataclasses.replace(fleet_share(), returns=True)
+
+
+@policy("preemption")
+def preemption() -> Policy:
+    """As zone-return; batch tasks make room for urgent ones."""
+    return dataclasses.replace(zone_return(), preempts=True)
--- /dev/null
+++ b/packages/core/mimosaridge_core/preemption.py
@@ -0,0 +1,168 @@
+"""Making room for urgent tasks by stopping less urgent batch tasks.
+
+A stopped task writes a checkpoint, goes back to its home and goes on from
+there on another worker. The worker is reserved for the urgent task meanwhile.
+"""
+
+from collections.abc import Iterator
+import itertools
+
+from mimosaridge_core import account
+from mimosaridge_core import codes
+from mimosaridge_core import effects
+from mimosaridge_core import fairness
+from mimosaridge_core import queueing
+from mimosaridge_core import resources
+from mimosaridge_core import rooms
+from mimosaridge_core import settling
+from mimosaridge_core import starting
+from mimosaridge_core import state
+from mimosaridge_core import summaries
+from mimosaridge_core import works
+
+SCANNED_WORKERS = 24
+RESERVED_S = 2.0
+
+
+def make_room(
+    st: state.State, shard: state.Shard, waiting: queueing.Waiting, out: list
+) -> None:
+    """Stops the fewest and newest batch tasks that give a task its room."""
+    task = waiting.task
+    key = (task.task_id, task.attempt)
+    if task.urgency != works.Urgency.URGENT or waiting.hold:
+        return
+    if any(item.key == key for item in shard.reserved.values()):
+        return
+    if not fairness.within_limit(st, shard, task):
+        return
+    best = min(
+        _offers(st, shard, task), key=lambda offer: offer[0], default=None
+    )
+    if best is None:
+        return
+    _, worker, victims = best
+    worker_id = worker.host.worker_id
+    shard.reserved[worker_id] = state.Reservation(key, st.now + RESERVED_S)
+    rooms.reindex(shard, worker)
+    for victim in victims:
+        _stop(st, shard, worker, victim, task, out)
+
+
+Offer = tuple[tuple[int, float], state.Worker, list[state.Placed]]
+
+
+def _offers(
+    st: state.State, shard: state.Shard, task: works.Task
+) -> Iterator[Offer]:
+    """Yields workers that could make room, with their cost and victims."""
+    for worker in _scanned(st, shard, task.endpoint):
+        victims = _victims(worker, task)
+        if victims is not None:
+            latest = min(
+                (item.task.submitted_at for item in victims), default=st.now
+            )
+            yield (len(victims), -latest), worker, victims
+
+
+def _scanned(
+    st: state.State, shard: state.Shard, endpoint: str
+) -> Iterator[state.Worker]:
+    for name, pool in shard.index.pools.items():
+        if endpoint not in ("", name) or not pool.free:
+            continue
+        offset = st.rng.randrange(len(pool.free))
+        ring = itertools.chain(pool.free, pool.free)
+        count = min(SCANNED_WORKERS, len(pool.free))
+        for worker_id in itertools.islice(ring, offset, offset + count):
+            yield shard.workers[worker_id]
+
+
+def _victims(
+    worker: state.Worker, task: works.Task
+) -> list[state.Placed] | None:
+    """Returns what has to stop for a task; None if that is not enough."""
+    stoppable = [
+        placed for placed in worker.placed.values() if _yields(placed, task)
+    ]
+    stoppable.sort(
+        key=lambda item: (
+            not item.stopping,
+            -item.task.urgency,
+            -item.task.submitted_at,
+        )
+    )
+    free = worker.free
+    chosen: list[state.Placed] = []
+    for placed in stoppable:
+        if task.needs.fits(free):
+            break
+        free = free + placed.task.needs
+        chosen.append(placed)
+    if not task.needs.fits(free):
+        return None
+    return [item for item in chosen if _helps(item, chosen, worker, task)]
+
+
+def _helps(
+    item: state.Placed,
+    chosen: list[state.Placed],
+    worker: state.Worker,
+    task: works.Task,
+) -> bool:
+    """Tells whether a task would lack room if one victim went on."""
+    others = [other.task.needs for other in chosen if other is not item]
+    return not task.needs.fits(worker.free + resources.total(others))
+
+
+def _yields(placed: state.Placed, task: works.Task) -> bool:
+    """Tells whether a placed task may be stopped for another."""
+    return (
+        placed.task.kind == works.Kind.BATCH
+        and placed.task.idempotent
+        and placed.task.urgency > task.urgency
+        and placed.phase == works.Phase.RUNNING
+    )
+
+
+def _stop(
+    st: state.State,
+    shard: state.Shard,
+    worker: state.Worker,
+    placed: state.Placed,
+    urgent: works.Task,
+    out: list,
+) -> None:
+    task = placed.task
+    if not placed.stopping:
+        placed.stopping = True
+        placed.stop_code = codes.Code.PREEMPTED
+        text = f"Stopped with a checkpoint for urgent {urgent.task_id}."
+        settling.note_task(st, shard, task, account.Rule.PREEMPTION, text, out)
+    out.append(
+        effects.StopTask(
+            worker.host.worker_id,
+            worker.host.url,
+            shard.epoch,
+            task.task_id,
+            task.attempt,
+            checkpoint=True,
+        )
+    )
+
+
+def serve(st: state.State, shard: state.Shard, out: list) -> None:
+    """Places tasks on workers reserved for them, and ends reservations."""
+    for worker_id, item in list(shard.reserved.items()):
+        worker = shard.workers.get(worker_id)
+        waiting = shard.queue.waiting.get(item.key)
+        usable = worker is not None and summaries.takes_work(worker)
+        if waiting is not None and usable and item.until > st.now:
+            needs = waiting.task.needs
+            if not needs.fits(worker.free):
+                continue
+            if fairness.within_limit(st, shard, waiting.task):
+                starting.place(st, shard, waiting, worker, out)
+        del shard.reserved[worker_id]
+        if worker is not None:
+            rooms.reindex(shard, worker)
--- a/packages/core/mimosaridge_core/rooms.py
+++ b/packages/core/mimosaridge_core/rooms.py
@@ -66,7 +66,8 @@
         shard.unheard.discard(host.worker_id)
     else:
         shard.unheard.add(host.worker_id)
-    if summaries.takes_work(worker):
+    reserved = host.worker_id in shard.reserved
+    if summaries.takes_work(worker) and not reserved:
         shard.index.put(host.endpoint, host.worker_id, worker.free)
     else:
         shard.index.drop(host.endpoint, host.worker_id)
--- a/packages/core/mimosaridge_core/routing.py
+++ b/packages/core/mimosaridge_core/routing.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+from mimosaridge_core import codes
+from mimosaridge_core import documents
 from mimosaridge_core import messages
 from mimosaridge_core import resources
 from mimosaridge_core import state
@@ -90,12 +92,17 @@
 
 
 def task_of(
-    work: works.Work, index: int, attempt: int, home: str
+    work: works.Work,
+    index: int,
+    assignment: documents.Assignment,
+    home: str,
 ) -> works.Task:
     """Returns one attempt at one task of some work."""
+    ran = assignment.ran
+    preempted = ran is not None and ran.code == codes.Code.PREEMPTED
     return works.Task(
         f"{work.work_id}/{index}",
-        attempt,
+        assignment.attempt,
         work.work_id,
         home,
         work.team,
@@ -108,4 +115,5 @@
         work.declared_run_s,
         work.idempotent,
         work.body,
+        ran.answer if preempted else b"",
     )
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -3,15 +3,15 @@
 import heapq
 import math
 
-from mimosaridge_core import account
+from mimosaridge_core import codes
 from mimosaridge_core import dispatch
-from mimosaridge_core import effects
 from mimosaridge_core import fairness
 from mimosaridge_core import policies
+from mimosaridge_core import preemption
 from mimosaridge_core import queueing
 from mimosaridge_core import resources
-from mimosaridge_core import rooms
 from mimosaridge_core import settling
+from mimosaridge_core import starting
 from mimosaridge_core import state
 from mimosaridge_core import works
 
@@ -71,6 +71,7 @@
     if _is_closed(st, shard):
         return
     learned = Pass(policies.in_force(st))
+    preemption.serve(st, shard, out)
     lanes = shard.queue.open_lanes()
     if not learned.chosen.by_urgency:
         _place_lanes(st, shard, lanes, learned, out)
@@ -78,6 +79,28 @@
     for urgency in works.Urgency:
         same = [lane for lane in lanes if lane.urgency == urgency]
         _place_lanes(st, shard, same, learned, out)
+        if urgency == works.Urgency.URGENT and learned.chosen.preempts:
+            _preempt(st, shard, same, out)
+
+
+def _preempt(
+    st: state.State, shard: state.Shard, lanes: list[queueing.Lane], out: list
+) -> None:
+    """Makes room for the first task of each lane that still waits."""
+    for lane in lanes:
+        waiting = shard.queue.head(lane)
+        if waiting is not None:
+            preemption.make_room(st, shard, waiting, out)
+
+
+@dispatch.every_tick
+def _end_reservations(st: state.State, out: list) -> None:
+    for shard in st.shards.values():
+        overdue = [
+            item for item in shard.reserved.values() if item.until <= st.now
+        ]
+        if overdue:
+            schedule(st, shard, out)
 
 
 def schedule_new(
@@ -93,7 +116,9 @@
     if not learned.chosen.overtakes:
         schedule(st, shard, out)
     elif shard.queue.head(queueing.lane_of(waiting.task)) is waiting:
-        _try_place(st, shard, waiting, learned, out)
+        placed = _try_place(st, shard, waiting, learned, out)
+        if not placed and learned.chosen.preempts:
+            preemption.make_room(st, shard, waiting, out)
 
 
 def _is_closed(st: state.State, shard: state.Shard) -> bool:
@@ -104,9 +129,26 @@
 def schedule_all(st: state.State, out: list) -> None:
     """Places what a new configuration allows."""
     for shard in st.shards.values():
+        _return_waiting(st, shard, out)
         schedule(st, shard, out)
 
 
+def _return_waiting(st: state.State, shard: state.Shard, out: list) -> None:
+    """Gives tasks that wait in a zone that is taken out back to their homes."""
+    if shard.zone not in st.config.zones_out:
+        return
+    if not policies.in_force(st).returns:
+        return
+    outcome = works.Outcome(
+        codes.Code.NO_ROOM, f"Zone {shard.zone} was taken out."
+    )
+    for key, waiting in list(shard.queue.waiting.items()):
+        shard.queue.remove(key)
+        settling.settle(
+            st, shard, waiting.task, works.Phase.NOT_RUN, outcome, "", out
+        )
+
+
 def _may_place(shard: state.Shard, lane: queueing.Lane) -> bool:
     waiting = shard.queue.head(lane)
     if waiting is None:
@@ -169,42 +211,6 @@
     if worker_id is None:
         learned.refuse(task)
         return False
-    shard.queue.remove((task.task_id, task.attempt))
     worker = shard.workers[worker_id]
-    placed = state.Placed(task, works.Phase.HELD)
-    rooms.take_room(shard, worker, placed)
-    waited_ms = (st.now - waiting.since) * 1000
-    if waiting.hold:
-        placed.hold_until = st.now + st.tuning.hold_s
-        key = (task.task_id, task.attempt)
-        heapq.heappush(shard.holds, (placed.hold_until, key))
-        text = f"Room on worker {worker_id} is held for it."
-        settling.note_task(st, shard, task, account.Rule.RESERVATION, text, out)
-        settling.tell(st, shard, task, works.Phase.HELD, worker, out)
-        return True
-    text = (
-        f"Placed on worker {worker_id} by {st.config.policy}"
-        f" after {waited_ms:.0f} ms in {shard.name}."
-    )
-    settling.note_task(st, shard, task, account.Rule.PLACEMENT, text, out)
-    send_start(shard, worker, placed, out)
+    starting.place(st, shard, waiting, worker, out)
     return True
-
-
-def send_start(
-    shard: state.Shard,
-    worker: state.Worker,
-    placed: state.Placed,
-    out: list,
-) -> None:
-    """Starts a task that has room on a worker."""
-    placed.phase = works.Phase.PLACING
-    out.append(
-        effects.StartTask(
-            worker.host.worker_id,
-            worker.host.url,
-            shard.epoch,
-            worker.claim,
-            placed.task,
-        )
-    )
--- /dev/null
+++ b/packages/core/mimosaridge_core/starting.py
@@ -0,0 +1,60 @@
+"""Giving a waiting task room on a worker, and starting it."""
+
+import heapq
+
+from mimosaridge_core import account
+from mimosaridge_core import effects
+from mimosaridge_core import queueing
+from mimosaridge_core import rooms
+from mimosaridge_core import settling
+from mimosaridge_core import state
+from mimosaridge_core import works
+
+
+def place(
+    st: state.State,
+    shard: state.Shard,
+    waiting: queueing.Waiting,
+    worker: state.Worker,
+    out: list,
+) -> None:
+    """Takes a task from the queue and starts or holds it on a worker."""
+    task = waiting.task
+    shard.queue.remove((task.task_id, task.attempt))
+    worker_id = worker.host.worker_id
+    placed = state.Placed(task, works.Phase.HELD)
+    rooms.take_room(shard, worker, placed)
+    waited_ms = (st.now - waiting.since) * 1000
+    if waiting.hold:
+        placed.hold_until = st.now + st.tuning.hold_s
+        key = (task.task_id, task.attempt)
+        heapq.heappush(shard.holds, (placed.hold_until, key))
+        text = f"Room on worker {worker_id} is held for it."
+        settling.note_task(st, shard, task, account.Rule.RESERVATION, text, out)
+        settling.tell(st, shard, task, works.Phase.HELD, worker, out)
+        return
+    text = (
+        f"Placed on worker {worker_id} by {st.config.policy}"
+        f" after {waited_ms:.0f} ms in {shard.name}."
+    )
+    settling.note_task(st, shard, task, account.Rule.PLACEMENT, text, out)
+    send_start(shard, worker, placed, out)
+
+
+def send_start(
+    shard: state.Shard,
+    worker: state.Worker,
+    placed: state.Placed,
+    out: list,
+) -> None:
+    """Starts a task that has room on a worker."""
+    placed.phase = works.Phase.PLACING
+    out.append(
+        effects.StartTask(
+            worker.host.worker_id,
+            worker.host.url,
+            shard.epoch,
+            worker.claim,
+            placed.task,
+        )
+    )
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -108,6 +108,19 @@
     lease_ends: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Reservation:
+    """A worker that takes nothing else until one waiting task is placed.
+
+    Attributes:
+        key: The waiting task.
+        until: Deadline of the reservation, seconds since the epoch.
+    """
+
+    key: TaskKey
+    until: float
+
+
 @dataclasses.dataclass(slots=True)
 class Capacity:
     """What all workers of one endpoint in a shard have.
@@ -136,6 +149,7 @@
         capacities: For each endpoint, what all of its workers have.
         rooms: For each endpoint, what is left; None when it has changed.
         places: Worker of each placed task.
+        reserved: Workers that are kept for a waiting task.
         holds: Heap of the deadlines of holds; may name tasks that left.
         ended: Settled updates that their homes have not yet taken.
         taken: Attempts whose ends their homes have kept.
@@ -149,6 +163,7 @@
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     index: placement.Index = dataclasses.field(default_factory=placement.Index)
     queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
+    reserved: dict[str, Reservation] = dataclasses.field(default_factory=dict)
     unheard: set[str] = dataclasses.field(default_factory=set)
     capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
     rooms: list[messages.Room] | None = None
--- a/packages/core/mimosaridge_core/works.py
+++ b/packages/core/mimosaridge_core/works.py
@@ -99,6 +99,7 @@
         declared_run_s: Run time that the team expects, in seconds.
         idempotent: Whether running it twice does no harm.
         body: What the worker is given.
+        checkpoint: Where an earlier attempt was stopped; empty to begin anew.
     """
 
     __pydantic_config__ = {
@@ -120,6 +121,7 @@
     declared_run_s: float
     idempotent: bool
     body: bytes = b""
+    checkpoint: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/daemon/mimosaridge_daemon/workerlinks.py
+++ b/packages/daemon/mimosaridge_daemon/workerlinks.py
@@ -183,6 +183,7 @@
             "epoch": effect.epoch,
             "task_id": effect.task_id,
             "attempt": effect.attempt,
+            "checkpoint": effect.checkpoint,
         }
         self.client.call("POST", "/stop", body, CALL_TIMEOUT_S)
 
--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -404,6 +404,8 @@
 
     def _plan_end(self, worker: workers.Worker, task: works.Task) -> None:
         run_s = self.run_s(task)
+        if run_s is not None:
+            run_s = max(0.0, run_s - float(task.checkpoint or 0.0))
         if run_s is None or task.kind == works.Kind.SERVICE:
             return
         key = (task.task_id, task.attempt)
@@ -429,6 +431,8 @@
         key = (effect.task_id, effect.attempt)
         if isinstance(effect, effects.ForgetTask):
             worker.forget(key)
+        elif effect.checkpoint:
+            self._report(worker, worker.checkpoint(key, self.now))
         else:
             self._report(worker, worker.end(key, False, "stopped"))
 
