Drain workers for all-at-once jobs behind endless small work

Cause: a task of a gang that found no room at once was refused, so that small work always passed it. Ruled out: letting the refused task retry faster (room for a whole worker never appears while small tasks wait). A first try kept only workers with a free slot and one a shard, and sent all tasks of a gang to one shard: none started. Tests run: tests/core and tests/test_style.py. Not measured yet. Conclusion: registered as its own policy.

--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -31,7 +31,11 @@
     spec = work.entry.work
     assignment = work.entry.assignments[index]
     shard = routing.choose(
-        st, spec.endpoint, spec.needs, frozenset((assignment.shard,))
+        st,
+        spec.endpoint,
+        spec.needs,
+        frozenset((assignment.shard,)),
+        _shards_of_others(work),
     )
     if not shard:
         set_timer(st, st.now + FIRST_RETRY_S, work, index)
@@ -61,6 +65,18 @@
     work.tasks[index].unrecorded = True
 
 
+def _shards_of_others(work: state.HomeWork) -> frozenset[str]:
+    """Returns where the other tasks of a gang look for room."""
+    if work.entry.work.kind != works.Kind.GANG:
+        return frozenset()
+    pairs = zip(work.tasks, work.entry.assignments, strict=True)
+    return frozenset(
+        assignment.shard
+        for task, assignment in pairs
+        if task.phase == works.Phase.PLACING
+    )
+
+
 def send_task(
     st: state.State, work: state.HomeWork, index: int, out: list
 ) -> None:
--- a/packages/core/mimosaridge_core/placement.py
+++ b/packages/core/mimosaridge_core/placement.py
@@ -133,6 +133,27 @@
         if endpoint in self.pools:
             self.pools[endpoint].drop(worker_id)
 
+    def emptiest(self, endpoint: str) -> str | None:
+        """Returns the worker with a slot and the most free processor time.
+
+        Without a free slot anywhere, returns the worker listed first.
+        """
+        last = [
+            group[-1]
+            for name, pool in self.pools.items()
+            if endpoint in ("", name)
+            for group in pool.groups.values()
+        ]
+        if last:
+            return max(last)[2]
+        listed = (
+            worker_id
+            for name, pool in self.pools.items()
+            if endpoint in ("", name)
+            for worker_id in pool.free
+        )
+        return next(listed, None)
+
     def is_full(self, endpoint: str) -> bool:
         """Tells whether no worker has a slot; an empty endpoint means all."""
         if endpoint:
--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -4,7 +4,9 @@
 from mimosaridge_core import dispatch
 from mimosaridge_core import effects
 from mimosaridge_core import messages
+from mimosaridge_core import policies
 from mimosaridge_core import queueing
+from mimosaridge_core import reservations
 from mimosaridge_core import rooms
 from mimosaridge_core import scheduling
 from mimosaridge_core import settling
@@ -72,11 +74,9 @@
     shard.queue.add(waiting)
     scheduling.schedule_new(st, shard, waiting, out)
     if message.hold and (task.task_id, task.attempt) in shard.queue.waiting:
-        shard.queue.remove((task.task_id, task.attempt))
-        outcome = works.Outcome(
-            codes.Code.NO_ROOM, f"{shard.name} has no room to reserve now."
-        )
-        settling.settle(st, shard, task, works.Phase.NOT_RUN, outcome, "", out)
+        reserves = policies.in_force(st).reserves
+        if not reserves or not reservations.drain_for(st, shard, waiting):
+            reservations.refuse(st, shard, waiting, out)
 
 
 def _refusal(
--- a/packages/core/mimosaridge_core/policies.py
+++ b/packages/core/mimosaridge_core/policies.py
@@ -23,6 +23,8 @@
             endpoint that finds no room.
         returns: Whether tasks that wait in a zone that is taken out go back
             to their homes at once, to be sent elsewhere.
+        reserves: Whether a worker is drained for a task of a gang that finds
+            no room.
         preempts: Whether idempotent batch tasks make room for urgent ones.
     """
 
@@ -32,6 +34,7 @@
     overtakes: bool = True
     returns: bool = False
     preempts: bool = False
+    reserves: bool = False
 
 
 DEFAULT = "best-fit"
@@ -86,3 +89,9 @@
 def preemption() -> Policy:
     """As zone-return; batch tasks make room for urgent ones."""
     return dataclasses.replace(zone_return(), preempts=True)
+
+
+@policy("reservation")
+def reservation() -> Policy:
+    """As preemption; workers are drained for all-at-once jobs."""
+    return dataclasses.replace(preemption(), reserves=True)
--- a/packages/core/mimosaridge_core/preemption.py
+++ b/packages/core/mimosaridge_core/preemption.py
@@ -12,12 +12,10 @@
 from mimosaridge_core import effects
 from mimosaridge_core import fairness
 from mimosaridge_core import queueing
+from mimosaridge_core import reservations
 from mimosaridge_core import resources
-from mimosaridge_core import rooms
 from mimosaridge_core import settling
-from mimosaridge_core import starting
 from mimosaridge_core import state
-from mimosaridge_core import summaries
 from mimosaridge_core import works
 
 SCANNED_WORKERS = 24
@@ -29,10 +27,9 @@
 ) -> None:
     """Stops the fewest and newest batch tasks that give a task its room."""
     task = waiting.task
-    key = (task.task_id, task.attempt)
     if task.urgency != works.Urgency.URGENT or waiting.hold:
         return
-    if any(item.key == key for item in shard.reserved.values()):
+    if reservations.is_reserved(shard, waiting):
         return
     if not fairness.within_limit(st, shard, task):
         return
@@ -42,9 +39,7 @@
     if best is None:
         return
     _, worker, victims = best
-    worker_id = worker.host.worker_id
-    shard.reserved[worker_id] = state.Reservation(key, st.now + RESERVED_S)
-    rooms.reindex(shard, worker)
+    reservations.reserve(st, shard, worker, waiting, st.now + RESERVED_S)
     for victim in victims:
         _stop(st, shard, worker, victim, task, out)
 
@@ -149,20 +144,3 @@
             checkpoint=True,
         )
     )
-
-
-def serve(st: state.State, shard: state.Shard, out: list) -> None:
-    """Places tasks on workers reserved for them, and ends reservations."""
-    for worker_id, item in list(shard.reserved.items()):
-        worker = shard.workers.get(worker_id)
-        waiting = shard.queue.waiting.get(item.key)
-        usable = worker is not None and summaries.takes_work(worker)
-        if waiting is not None and usable and item.until > st.now:
-            needs = waiting.task.needs
-            if not needs.fits(worker.free):
-                continue
-            if fairness.within_limit(st, shard, waiting.task):
-                starting.place(st, shard, waiting, worker, out)
-        del shard.reserved[worker_id]
-        if worker is not None:
-            rooms.reindex(shard, worker)
--- a/packages/core/mimosaridge_core/queueing.py
+++ b/packages/core/mimosaridge_core/queueing.py
@@ -34,15 +34,17 @@
     urgency: works.Urgency
     team: str
     endpoint: str
+    gang: bool = False
 
 
 def lane_of(task: works.Task) -> Lane:
     """Returns the lane that a task waits in."""
-    return Lane(task.urgency, task.team, task.endpoint)
+    gang = task.kind == works.Kind.GANG
+    return Lane(task.urgency, task.team, task.endpoint, gang)
 
 
 class Queue:
-    """Waiting tasks in lanes, one for each urgency, team and endpoint.
+    """Waiting tasks in lanes, by urgency, team, endpoint and gangs.
 
     Attributes:
         waiting: All waiting tasks by id and attempt.
--- /dev/null
+++ b/packages/core/mimosaridge_core/reservations.py
@@ -0,0 +1,90 @@
+"""Keeping workers for tasks that small work would otherwise always pass."""
+
+from mimosaridge_core import codes
+from mimosaridge_core import fairness
+from mimosaridge_core import queueing
+from mimosaridge_core import rooms
+from mimosaridge_core import settling
+from mimosaridge_core import starting
+from mimosaridge_core import state
+from mimosaridge_core import summaries
+from mimosaridge_core import works
+
+GANG_WAIT_S = 20.0
+GANG_PART = 2
+
+
+def reserve(
+    st: state.State,
+    shard: state.Shard,
+    worker: state.Worker,
+    waiting: queueing.Waiting,
+    until: float,
+) -> None:
+    """Has a worker take nothing else until a task is placed on it."""
+    key = (waiting.task.task_id, waiting.task.attempt)
+    worker_id = worker.host.worker_id
+    shard.reserved[worker_id] = state.Reservation(key, until)
+    rooms.reindex(shard, worker)
+
+
+def is_reserved(shard: state.Shard, waiting: queueing.Waiting) -> bool:
+    """Tells whether a worker is kept for a task."""
+    key = (waiting.task.task_id, waiting.task.attempt)
+    return any(item.key == key for item in shard.reserved.values())
+
+
+def drain_for(
+    st: state.State, shard: state.Shard, waiting: queueing.Waiting
+) -> bool:
+    """Keeps the emptiest worker for a task of a gang; tells whether it did.
+
+    One worker of GANG_PART may be kept for gangs, and at least one.
+    """
+    kept = [
+        item
+        for item in shard.reserved.values()
+        if (other := shard.queue.waiting.get(item.key)) and other.hold
+    ]
+    if len(kept) >= max(1, len(shard.workers) // GANG_PART):
+        return False
+    task = waiting.task
+    worker_id = shard.index.emptiest(task.endpoint)
+    if worker_id is None:
+        return False
+    worker = shard.workers[worker_id]
+    if not task.needs.fits(worker.host.capacity):
+        return False
+    reserve(st, shard, worker, waiting, st.now + GANG_WAIT_S)
+    return True
+
+
+def serve(st: state.State, shard: state.Shard, out: list) -> None:
+    """Places tasks on workers kept for them, and ends reservations."""
+    for worker_id, item in list(shard.reserved.items()):
+        worker = shard.workers.get(worker_id)
+        waiting = shard.queue.waiting.get(item.key)
+        usable = worker is not None and summaries.takes_work(worker)
+        if waiting is not None and usable and item.until > st.now:
+            needs = waiting.task.needs
+            if not needs.fits(worker.free):
+                continue
+            if fairness.within_limit(st, shard, waiting.task):
+                starting.place(st, shard, waiting, worker, out)
+        del shard.reserved[worker_id]
+        if worker is not None:
+            rooms.reindex(shard, worker)
+        if item.key in shard.queue.waiting and waiting.hold:
+            refuse(st, shard, waiting, out)
+
+
+def refuse(
+    st: state.State, shard: state.Shard, waiting: queueing.Waiting, out: list
+) -> None:
+    """Tells the home of a gang that one of its tasks finds no room."""
+    task = waiting.task
+    shard.queue.remove((task.task_id, task.attempt))
+    outcome = works.Outcome(
+        codes.Code.NO_ROOM, f"{shard.name} has no room to reserve now."
+    )
+    settling.settle(st, shard, task, works.Phase.NOT_RUN, outcome, "", out)
--- a/packages/core/mimosaridge_core/routing.py
+++ b/packages/core/mimosaridge_core/routing.py
@@ -50,13 +50,15 @@
     endpoint: str,
     needs: resources.Resources,
     avoid: frozenset[str] = frozenset(),
+    apart: frozenset[str] = frozenset(),
 ) -> str:
     """Returns a shard for a task, or an empty name if none takes it now.
 
     What was sent since the last heartbeat counts as taken, since summaries
     do not show it yet. Of the shards with room, two are drawn and the one
     with the shorter queue and more free slots is taken. Without room
-    anywhere, the shortest queue of a shard with large enough workers is taken.
+    anywhere, the shortest queue of a shard with large enough workers is taken,
+    of a shard that is not in `apart` if there is one.
 
     Source: the power of two choices (Mitzenmacher, 2001).
     """
@@ -78,7 +80,8 @@
         sent = st.sent_room.get(chosen, resources.ZERO)
         st.sent_room[chosen] = sent + needs
         return chosen
-    return min(capable)[2] if capable else ""
+    capable.sort(key=lambda entry: (entry[2] in apart, entry))
+    return capable[0][2] if capable else ""
 
 
 def _has_room(
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -9,6 +9,7 @@
 from mimosaridge_core import policies
 from mimosaridge_core import preemption
 from mimosaridge_core import queueing
+from mimosaridge_core import reservations
 from mimosaridge_core import resources
 from mimosaridge_core import settling
 from mimosaridge_core import starting
@@ -71,7 +72,7 @@
     if _is_closed(st, shard):
         return
     learned = Pass(policies.in_force(st))
-    preemption.serve(st, shard, out)
+    reservations.serve(st, shard, out)
     lanes = shard.queue.open_lanes()
     if not learned.chosen.by_urgency:
         _place_lanes(st, shard, lanes, learned, out)
--- a/packages/core/mimosaridge_core/starting.py
+++ b/packages/core/mimosaridge_core/starting.py
@@ -4,6 +4,7 @@
 
 from mimosaridge_core import account
 from mimosaridge_core import effects
+from mimosaridge_core import policies
 from mimosaridge_core import queueing
 from mimosaridge_core import rooms
 from mimosaridge_core import settling
@@ -27,6 +28,8 @@
     waited_ms = (st.now - waiting.since) * 1000
     if waiting.hold:
         placed.hold_until = st.now + st.tuning.hold_s
+        if policies.in_force(st).reserves:
+            placed.hold_until = st.now + st.tuning.gang_hold_s
         key = (task.task_id, task.attempt)
         heapq.heappush(shard.holds, (placed.hold_until, key))
         text = f"Room on worker {worker_id} is held for it."
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -17,6 +17,7 @@
         rebalance_s: How long a task waits in a shard without room before it
             goes back to its home if another shard has room.
         hold_s: How long room is held for an all-at-once job.
+        gang_hold_s: As hold_s, where workers are drained for such jobs.
         worker_lease_s: Life of a worker's task leases.
         lease_margin_s: Added before a lease counts as surely ended.
         flush_s: Least time between two writes of one ledger.
@@ -44,6 +45,7 @@
     resend_s: float = 1.0
     rebalance_s: float = 0.3
     hold_s: float = 5.0
+    gang_hold_s: float = 20.0
     worker_lease_s: float = 20.0
     lease_margin_s: float = 2.0
     flush_s: float = 0.03
