Set aside workers that fail everything, and probe them

Cause: a worker that fails each task at once is always the emptiest or first and takes one task after another. Ruled out: counting failures alone, which blames workers for works that fail everywhere; probing with requests, whose callers would see the failure.

--- a/packages/core/mimosaridge_core/account.py
+++ b/packages/core/mimosaridge_core/account.py
@@ -20,6 +20,7 @@
     PLACEMENT = "placement"
     RESERVATION = "reservation"
     PREEMPTION = "preemption"
+    HEALTH = "health"
     STARTED = "started"
     ENDED = "ended"
     RETRY = "retry"
--- a/packages/core/mimosaridge_core/policies.py
+++ b/packages/core/mimosaridge_core/policies.py
@@ -25,6 +25,8 @@
             to their homes at once, to be sent elsewhere.
         reserves: Whether a worker is drained for a task of a gang that finds
             no room.
+        sets_aside: Whether workers that fail what they are given are set
+            aside and probed.
         preempts: Whether idempotent batch tasks make room for urgent ones.
     """
 
@@ -35,6 +37,7 @@
     returns: bool = False
     preempts: bool = False
     reserves: bool = False
+    sets_aside: bool = False
 
 
 DEFAULT = "best-fit"
@@ -95,3 +98,9 @@
 def reservation() -> Policy:
     """As preemption; workers are drained for all-at-once jobs."""
     return dataclasses.replace(preemption(), reserves=True)
+
+
+@policy("worker-health")
+def worker_health() -> Policy:
+    """As reservation; workers that fail everything are set aside."""
+    return dataclasses.replace(reservation(), sets_aside=True)
--- a/packages/core/mimosaridge_core/rooms.py
+++ b/packages/core/mimosaridge_core/rooms.py
@@ -66,8 +66,8 @@
         shard.unheard.discard(host.worker_id)
     else:
         shard.unheard.add(host.worker_id)
-    reserved = host.worker_id in shard.reserved
-    if summaries.takes_work(worker) and not reserved:
+    kept = host.worker_id in shard.reserved or host.worker_id in shard.aside
+    if summaries.takes_work(worker) and not kept:
         shard.index.put(host.endpoint, host.worker_id, worker.free)
     else:
         shard.index.drop(host.endpoint, host.worker_id)
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -6,6 +6,7 @@
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import fairness
+from mimosaridge_core import health
 from mimosaridge_core import policies
 from mimosaridge_core import preemption
 from mimosaridge_core import queueing
@@ -208,6 +209,8 @@
         return False
     if not fairness.within_limit(st, shard, task):
         return False
+    if shard.aside and health.probe(st, shard, waiting, out):
+        return True
     worker_id = shard.index.find(learned.chosen.fit, task.endpoint, task.needs)
     if worker_id is None:
         learned.refuse(task)
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -96,6 +96,8 @@
         reachable: Whether it answered its last call.
         leaving: Whether it or the host list says that it is going away.
         lease_ends: When its task leases have surely ended.
+        failing: Works that failed on it since it last finished one.
+        probe_after_s: How long it was last set aside, in seconds.
     """
 
     host: events.Host
@@ -106,6 +108,8 @@
     reachable: bool = False
     leaving: bool = False
     lease_ends: float = 0.0
+    failing: set[str] = dataclasses.field(default_factory=set)
+    probe_after_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,6 +154,10 @@
         rooms: For each endpoint, what is left; None when it has changed.
         places: Worker of each placed task.
         reserved: Workers that are kept for a waiting task.
+        aside: Workers that are set aside, with the time of their next probe,
+            seconds since the epoch.
+        failed_on: For each work that failed, the worker that it failed on
+            first.
         holds: Heap of the deadlines of holds; may name tasks that left.
         ended: Settled updates that their homes have not yet taken.
         taken: Attempts whose ends their homes have kept.
@@ -164,6 +172,8 @@
     index: placement.Index = dataclasses.field(default_factory=placement.Index)
     queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
     reserved: dict[str, Reservation] = dataclasses.field(default_factory=dict)
+    aside: dict[str, float] = dataclasses.field(default_factory=dict)
+    failed_on: dict[str, str] = dataclasses.field(default_factory=dict)
     unheard: set[str] = dataclasses.field(default_factory=set)
     capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
     rooms: list[messages.Room] | None = None
--- a/packages/core/mimosaridge_core/workerreports.py
+++ b/packages/core/mimosaridge_core/workerreports.py
@@ -8,6 +8,7 @@
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import events
+from mimosaridge_core import health
 from mimosaridge_core import rooms
 from mimosaridge_core import scheduling
 from mimosaridge_core import settling
@@ -169,10 +170,13 @@
     stop_code: codes.Code,
 ) -> None:
     if report.ok:
+        health.succeeded(shard, worker)
         phase = works.Phase.DONE
         outcome = works.Outcome(codes.Code.OK, "", report.answer)
     else:
         phase = works.Phase.FAILED
         code = stop_code or codes.Code.TASK_FAILED
+        if code == codes.Code.TASK_FAILED:
+            health.failed(st, shard, worker, task, out)
         outcome = works.Outcome(code, report.detail, report.answer)
     settling.settle(st, shard, task, phase, outcome, worker.host.worker_id, out)
