--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -70,13 +70,15 @@
     if refusal is not None:
         settling.settle(st, shard, task, works.Phase.NOT_RUN, refusal, "", out)
         return
-    waiting = queueing.Waiting(task, message.hold, sender, st.now)
+    until = task.start_before
+    if message.hold:
+        until = min(until, st.now + st.tuning.hold_wait_s)
+    waiting = queueing.Waiting(task, message.hold, sender, st.now, until)
     shard.queue.add(waiting)
     scheduling.schedule_new(st, shard, waiting, out)
-    if message.hold and (task.task_id, task.attempt) in shard.queue.waiting:
-        reserves = policies.in_force(st).reserves
-        if not reserves or not reservations.drain_for(st, shard, waiting):
-            reservations.refuse(st, shard, waiting, out)
+    is_waiting = (task.task_id, task.attempt) in shard.queue.waiting
+    if message.hold and is_waiting and policies.in_force(st).reserves:
+        reservations.drain_for(st, shard, waiting)
 
 
 def _refusal(
--- a/packages/core/mimosaridge_core/preemption.py
+++ b/packages/core/mimosaridge_core/preemption.py
@@ -39,7 +39,7 @@
     if best is None:
         return
     _, worker, victims = best
-    reservations.reserve(st, shard, worker, waiting, st.now + RESERVED_S)
+    reservations.reserve(shard, worker, waiting, st.now + RESERVED_S)
     for victim in victims:
         _stop(st, shard, worker, victim, task, out)
 
--- a/packages/core/mimosaridge_core/queueing.py
+++ b/packages/core/mimosaridge_core/queueing.py
@@ -19,12 +19,14 @@
         hold: Reserve room for it instead of starting it.
         home_daemon: Daemon that sent it.
         since: When it came, seconds since the epoch.
+        until: When it has waited long enough, seconds since the epoch.
     """
 
     task: works.Task
     hold: bool
     home_daemon: str
     since: float
+    until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +51,7 @@
     Attributes:
         waiting: All waiting tasks by id and attempt.
         lanes: The lanes' tasks in order of arrival.
-        deadlines: Heap of start deadlines; may name tasks that left.
+        deadlines: Heap of when to give up; may name tasks that left.
     """
 
     def __init__(self) -> None:
@@ -67,7 +69,13 @@
         self.waiting[key] = waiting
         lane = lane_of(task)
         self.lanes.setdefault(lane, collections.deque()).append(key)
-        heapq.heappush(self.deadlines, (task.start_before, key))
+        heapq.heappush(self.deadlines, (waiting.until, key))
+
+    def extend(self, waiting: Waiting, until: float) -> None:
+        """Lets a task wait longer."""
+        waiting.until = until
+        key = (waiting.task.task_id, waiting.task.attempt)
+        heapq.heappush(self.deadlines, (until, key))
 
     def remove(self, key: TaskKey) -> Waiting | None:
         """Removes a task; its place in the lane is skipped later."""
@@ -89,9 +97,10 @@
         return list(self.lanes)
 
     def overdue(self, now: float) -> Iterator[Waiting]:
-        """Removes and yields tasks whose start deadline has passed."""
+        """Removes and yields tasks that have waited long enough."""
         while self.deadlines and self.deadlines[0][0] <= now:
             _, key = heapq.heappop(self.deadlines)
-            waiting = self.remove(key)
-            if waiting is not None:
+            waiting = self.waiting.get(key)
+            if waiting is not None and waiting.until <= now:
+                del self.waiting[key]
                 yield waiting
--- a/packages/core/mimosaridge_core/reservations.py
+++ b/packages/core/mimosaridge_core/reservations.py
@@ -1,21 +1,16 @@
 """Keeping workers for tasks that small work would otherwise always pass."""
 
-from mimosaridge_core import codes
 from mimosaridge_core import fairness
 from mimosaridge_core import queueing
 from mimosaridge_core import rooms
-from mimosaridge_core import settling
 from mimosaridge_core import starting
 from mimosaridge_core import state
 from mimosaridge_core import summaries
-from mimosaridge_core import works
 
-GANG_WAIT_S = 20.0
 GANG_PART = 2
 
 
 def reserve(
-    st: state.State,
     shard: state.Shard,
     worker: state.Worker,
     waiting: queueing.Waiting,
@@ -55,7 +50,9 @@
     worker = shard.workers[worker_id]
     if not task.needs.fits(worker.host.capacity):
         return False
-    reserve(st, shard, worker, waiting, st.now + GANG_WAIT_S)
+    until = min(task.start_before, st.now + st.tuning.gang_hold_s)
+    shard.queue.extend(waiting, until)
+    reserve(shard, worker, waiting, until)
     return True
 
 
@@ -74,17 +71,3 @@
         del shard.reserved[worker_id]
         if worker is not None:
             rooms.reindex(shard, worker)
-        if item.key in shard.queue.waiting and waiting.hold:
-            refuse(st, shard, waiting, out)
-
-
-def refuse(
-    st: state.State, shard: state.Shard, waiting: queueing.Waiting, out: list
-) -> None:
-    """Tells the home of a gang that one of its tasks finds no room."""
-    task = waiting.task
-    shard.queue.remove((task.task_id, task.attempt))
-    outcome = works.Outcome(
-        codes.Code.NO_ROOM, f"{shard.name} has no room to reserve now."
-    )
-    settling.settle(st, shard, task, works.Phase.NOT_RUN, outcome, "", out)
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -16,6 +16,8 @@
         resend_s: Before an unanswered message is sent again.
         rebalance_s: How long a task waits in a shard without room before it
             goes back to its home if another shard has room.
+        hold_wait_s: How long a task of an all-at-once job waits for room to
+            hold.
         hold_s: How long room is held for an all-at-once job.
         gang_hold_s: As hold_s, where workers are drained for such jobs.
         worker_lease_s: Life of a worker's task leases.
@@ -44,6 +46,7 @@
     settle_s: float = 1.0
     resend_s: float = 1.0
     rebalance_s: float = 0.3
+    hold_wait_s: float = 2.0
     hold_s: float = 5.0
     gang_hold_s: float = 20.0
     worker_lease_s: float = 20.0
