Count shares across classes, and ramp starts in a zone that came back

Cause: with strict classes a team with much normal work passed all other teams' background work; a returning zone took all waiting work at once. Ruled out: shares across urgent work too (urgent work must not wait).

--- a/packages/core/mimosaridge_core/policies.py
+++ b/packages/core/mimosaridge_core/policies.py
@@ -21,12 +21,16 @@
         by_urgency: Whether more urgent classes go first.
         overtakes: Whether a task may start before an earlier one of its
             endpoint that finds no room.
+        pools_classes: Whether only urgent work goes first, and a team's own
+            normal work before its background work; else all normal work goes
+            before all background work.
         returns: Whether tasks that wait in a zone that is taken out go back
             to their homes at once, to be sent elsewhere.
         reserves: Whether a worker is drained for a task of a gang that finds
             no room.
         sets_aside: Whether workers that fail what they are given are set
             aside and probed.
+        ramps: Whether starts in a zone that came back grow step by step.
         preempts: Whether idempotent batch tasks make room for urgent ones.
     """
 
@@ -34,10 +38,12 @@
     fit: placement.Fit
     by_urgency: bool = True
     overtakes: bool = True
+    pools_classes: bool = False
     returns: bool = False
     preempts: bool = False
     reserves: bool = False
     sets_aside: bool = False
+    ramps: bool = False
 
 
 DEFAULT = "best-fit"
@@ -104,3 +110,15 @@
 def worker_health() -> Policy:
     """As reservation; workers that fail everything are set aside."""
     return dataclasses.replace(reservation(), sets_aside=True)
+
+
+@policy("team-order")
+def team_order() -> Policy:
+    """As worker-health; shares count across normal and background work."""
+    return dataclasses.replace(worker_health(), pools_classes=True)
+
+
+@policy("ramp")
+def ramp() -> Policy:
+    """As team-order; starts in a zone that came back grow step by step."""
+    return dataclasses.replace(team_order(), ramps=True)
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -10,6 +10,7 @@
 from mimosaridge_core import policies
 from mimosaridge_core import preemption
 from mimosaridge_core import queueing
+from mimosaridge_core import ramp
 from mimosaridge_core import reservations
 from mimosaridge_core import resources
 from mimosaridge_core import settling
@@ -17,6 +18,14 @@
 from mimosaridge_core import state
 from mimosaridge_core import works
 
+CLASSES = {
+    False: tuple((urgency,) for urgency in works.Urgency),
+    True: (
+        (works.Urgency.URGENT,),
+        (works.Urgency.NORMAL, works.Urgency.BACKGROUND),
+    ),
+}
+
 
 class Pass:
     """What one pass over the lanes has learned; room only shrinks in it.
@@ -45,12 +54,12 @@
 
     def rank(
         self, st: state.State, shard: state.Shard, lane: queueing.Lane
-    ) -> float:
-        """Returns a number by which the lowest lane goes first."""
+    ) -> tuple[float, int]:
+        """Returns what the lane that goes first has least of."""
         if self.chosen.claim is not None:
-            return self.claim(st, shard, lane.team)
+            return self.claim(st, shard, lane.team), lane.urgency
         waiting = shard.queue.head(lane)
-        return waiting.since if waiting else -math.inf
+        return (waiting.since if waiting else -math.inf), 0
 
     def is_refused(self, task: works.Task) -> bool:
         """Tells whether a task that needs no more found no worker."""
@@ -78,10 +87,10 @@
     if not learned.chosen.by_urgency:
         _place_lanes(st, shard, lanes, learned, out)
         return
-    for urgency in works.Urgency:
-        same = [lane for lane in lanes if lane.urgency == urgency]
+    for urgencies in CLASSES[learned.chosen.pools_classes]:
+        same = [lane for lane in lanes if lane.urgency in urgencies]
         _place_lanes(st, shard, same, learned, out)
-        if urgency == works.Urgency.URGENT and learned.chosen.preempts:
+        if works.Urgency.URGENT in urgencies and learned.chosen.preempts:
             _preempt(st, shard, same, out)
 
 
@@ -101,10 +110,19 @@
         overdue = [
             item for item in shard.reserved.values() if item.until <= st.now
         ]
-        if overdue:
+        if overdue or _grows(st, shard):
             schedule(st, shard, out)
 
 
+def _grows(st: state.State, shard: state.Shard) -> bool:
+    """Tells whether waiting tasks may start as the ramp grows."""
+    if not shard.returned_at or not len(shard.queue):
+        return False
+    if not ramp.is_active(st, shard):
+        shard.returned_at = 0.0
+    return True
+
+
 def schedule_new(
     st: state.State,
     shard: state.Shard,
@@ -131,6 +149,7 @@
 def schedule_all(st: state.State, out: list) -> None:
     """Places what a new configuration allows."""
     for shard in st.shards.values():
+        ramp.follow(st, shard)
         _return_waiting(st, shard, out)
         schedule(st, shard, out)
 
@@ -209,6 +228,8 @@
         return False
     if not fairness.within_limit(st, shard, task):
         return False
+    if learned.chosen.ramps and not ramp.allows(st, shard, task):
+        return False
     if shard.aside and health.probe(st, shard, waiting, out):
         return True
     worker_id = shard.index.find(learned.chosen.fit, task.endpoint, task.needs)
@@ -217,4 +238,5 @@
         return False
     worker = shard.workers[worker_id]
     starting.place(st, shard, waiting, worker, out)
+    ramp.count(st, shard)
     return True
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -156,6 +156,9 @@
         reserved: Workers that are kept for a waiting task.
         aside: Workers that are set aside, with the time of their next probe,
             seconds since the epoch.
+        is_out: Whether its zone was out under the last configuration.
+        returned_at: When its zone last came back, seconds since the epoch.
+        starts_since: Starts since then.
         failed_on: For each work that failed, the worker that it failed on
             first.
         holds: Heap of the deadlines of holds; may name tasks that left.
@@ -173,6 +176,9 @@
     queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
     reserved: dict[str, Reservation] = dataclasses.field(default_factory=dict)
     aside: dict[str, float] = dataclasses.field(default_factory=dict)
+    is_out: bool = False
+    returned_at: float = 0.0
+    starts_since: int = 0
     failed_on: dict[str, str] = dataclasses.field(default_factory=dict)
     unheard: set[str] = dataclasses.field(default_factory=set)
     capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
