Drain a worker for the team furthest below its share

Seen failing under team-order: tests/core/test_reservations.py, the large task does not start in 15 s.

--- a/packages/core/mimosaridge_core/policies.py
+++ b/packages/core/mimosaridge_core/policies.py
@@ -31,6 +31,8 @@
         sets_aside: Whether workers that fail what they are given are set
             aside and probed.
         ramps: Whether starts in a zone that came back grow step by step.
+        drains: Whether a worker is drained also for the first task of the
+            team furthest below its share.
         preempts: Whether idempotent batch tasks make room for urgent ones.
     """
 
@@ -44,6 +46,7 @@
     reserves: bool = False
     sets_aside: bool = False
     ramps: bool = False
+    drains: bool = False
 
 
 DEFAULT = "best-fit"
@@ -122,3 +125,9 @@
 def ramp() -> Policy:
     """As team-order; starts in a zone that came back grow step by step."""
     return dataclasses.replace(team_order(), ramps=True)
+
+
+@policy("drain-for-share")
+def drain_for_share() -> Policy:
+    """As team-order; large tasks of teams below their share get a worker."""
+    return dataclasses.replace(team_order(), drains=True)
--- a/packages/core/mimosaridge_core/reservations.py
+++ b/packages/core/mimosaridge_core/reservations.py
@@ -6,8 +6,9 @@
 from mimosaridge_core import starting
 from mimosaridge_core import state
 from mimosaridge_core import summaries
+from mimosaridge_core import works
 
-GANG_PART = 2
+DRAINED_PART = 2
 
 
 def reserve(
@@ -30,11 +31,13 @@
 
 
 def drained(shard: state.Shard) -> list[state.Worker]:
-    """Returns the workers that are kept for gangs."""
+    """Returns the workers that are kept for tasks that are not urgent."""
     found = []
     for worker_id, item in shard.reserved.items():
         waiting = shard.queue.waiting.get(item.key)
-        if waiting is not None and waiting.hold and worker_id in shard.workers:
+        if waiting is None or worker_id not in shard.workers:
+            continue
+        if waiting.task.urgency != works.Urgency.URGENT or waiting.hold:
             found.append(shard.workers[worker_id])
     return found
 
@@ -42,11 +45,11 @@
 def drain_for(
     st: state.State, shard: state.Shard, waiting: queueing.Waiting
 ) -> bool:
-    """Keeps the emptiest worker for a task of a gang; tells whether it did.
+    """Keeps the emptiest worker for a task; tells whether it did.
 
-    One worker of GANG_PART may be kept for gangs, and at least one.
+    One worker of DRAINED_PART may be kept so, and at least one.
     """
-    if len(drained(shard)) >= max(1, len(shard.workers) // GANG_PART):
+    if len(drained(shard)) >= max(1, len(shard.workers) // DRAINED_PART):
         return False
     task = waiting.task
     worker_id = shard.index.emptiest(task.endpoint)
@@ -56,7 +59,8 @@
     if not task.needs.fits(worker.host.capacity):
         return False
     until = min(task.start_before, st.now + st.tuning.gang_hold_s)
-    shard.queue.extend(waiting, until)
+    if waiting.hold:
+        shard.queue.extend(waiting, until)
     reserve(shard, worker, waiting, until)
     return True
 
--- a/packages/core/mimosaridge_core/scheduling.py
+++ b/packages/core/mimosaridge_core/scheduling.py
@@ -18,6 +18,7 @@
 from mimosaridge_core import state
 from mimosaridge_core import works
 
+DRAIN_AFTER_S = 1.0
 CLASSES = {
     False: tuple((urgency,) for urgency in works.Urgency),
     True: (
@@ -170,12 +171,16 @@
         )
 
 
-def _may_place(shard: state.Shard, lane: queueing.Lane) -> bool:
+def _may_place(
+    shard: state.Shard, lane: queueing.Lane, chosen: policies.Policy
+) -> bool:
     waiting = shard.queue.head(lane)
     if waiting is None:
         return False
-    return waiting.task.needs.slots <= 0 or not shard.index.is_full(
-        lane.endpoint
+    return (
+        chosen.drains
+        or waiting.task.needs.slots <= 0
+        or not shard.index.is_full(lane.endpoint)
     )
 
 
@@ -189,9 +194,10 @@
     ranked = [
         (learned.rank(st, shard, lane), position, lane)
         for position, lane in enumerate(lanes)
-        if _may_place(shard, lane)
+        if _may_place(shard, lane, learned.chosen)
     ]
     heapq.heapify(ranked)
+    first = True
     while ranked:
         rank, position, lane = heapq.heappop(ranked)
         present = learned.rank(st, shard, lane)
@@ -205,6 +211,23 @@
             learned.claims.pop(lane.team, None)
             present = learned.rank(st, shard, lane)
             heapq.heappush(ranked, (present, position, lane))
+        elif first and learned.chosen.drains:
+            first = False
+            _drain(st, shard, waiting)
+
+
+def _drain(
+    st: state.State, shard: state.Shard, waiting: queueing.Waiting
+) -> None:
+    """Drains a worker for a task that has waited long for room alone."""
+    if waiting.task.urgency == works.Urgency.URGENT or waiting.hold:
+        return
+    if st.now - waiting.since < DRAIN_AFTER_S:
+        return
+    if reservations.is_reserved(shard, waiting):
+        return
+    if lacks_room(st, shard, waiting.task):
+        reservations.drain_for(st, shard, waiting)
 
 
 def lacks_room(st: state.State, shard: state.Shard, task: works.Task) -> bool:
--- a/tests/core/test_reservations.py
+++ b/tests/core/test_reservations.py
@@ -13,13 +13,14 @@
 
 
 class ReservationTest(testtools.TestCase):
-    """A gang that needs whole workers against a queue of small tasks."""
+    """Tasks that need whole workers against a queue of small tasks."""
 
-    def test_a_gang_starts_although_small_tasks_keep_the_workers_busy(self):
+    def _busy(self, policy):
+        """Returns a deployment with small work of team a for long."""
         config = deployments.team_config(
             [configuration.Team("a", "north"), configuration.Team("b", "south")]
         )
-        config.policy = "reservation"
+        config.policy = policy
         made = deployments.Deployment(fleets.small(), config)
         assert made.run_until(made.ready, 10.0)
         made.run_s = lambda task: 3.0
@@ -34,6 +35,10 @@
             )
             made.run(0.3)
         made.run(2.0)
+        return made
+
+    def test_a_gang_starts_although_small_tasks_keep_the_workers_busy(self):
+        made = self._busy("reservation")
         gang, _ = made.submit(
             "d1",
             "b",
@@ -57,3 +62,17 @@
             for shard in daemon.shards.values()
         )
         self.assertGreater(waiting, 0)
+
+    def test_a_large_task_of_a_team_below_its_share_gets_a_worker(self):
+        made = self._busy("drain-for-share")
+        large, _ = made.submit(
+            "d1", "b", kind=works.Kind.BATCH, needs=WHOLE, within_s=300.0
+        )
+        made.run(15.0)
+        starts = [
+            task_id
+            for worker in made.workers.values()
+            for _, task_id, _ in worker.starts
+            if task_id.startswith(large)
+        ]
+        self.assertEqual(1, len(starts))
