Decode task bodies in the stand-in as the daemon encodes them

Cause: pydantic writes bytes as URL-safe base64; the stand-in worker read them as standard base64, so a body with certain characters was cut or refused. Ruled out: the daemon's own decoding, which takes both. Conclusion: callers that decode answers as standard base64 meet the same difference; that is the API's to settle.

--- a/standins/mimosaridge_standins/workers.py
+++ b/standins/mimosaridge_standins/workers.py
@@ -94,7 +94,7 @@
     def start(self, label: dict[str, Any]) -> None:
         """Runs a task."""
         key = (label["task_id"], label["attempt"])
-        saved = base64.b64decode(label.get("checkpoint", ""))
+        saved = base64.urlsafe_b64decode(label.get("checkpoint", ""))
         run = Run(label, time.time(), float(saved or 0.0))
         self.runs[key] = run
         self.starts.append((run.started_at, *key))
@@ -106,7 +106,7 @@
         self._begin(key, run)
 
     def _begin(self, key: tuple[str, int], run: Run) -> None:
-        raw = base64.b64decode(run.label["body"])
+        raw = base64.urlsafe_b64decode(run.label["body"])
         try:
             wishes = json.loads(raw) if raw else {}
         except ValueError:
