Spread a service's replicas over the zones

Cause: replicas went where two drawn shards had most room, so that one zone could hold most of a service. Ruled out: spreading by shard (two shards of a zone fail together). Results: tests/core/test_policies.py passes (8); nine replicas stand 3, 3, 3 under spread and not under preemption. Seen failing: a home that had not yet heard its peers put all on its own zone (2, 3, 4 after they were moved).

--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -1,5 +1,6 @@
 """Sending tasks to shards, and sending them again until they are settled."""
 
+import collections
 import heapq
 
 from mimosaridge_core import account
@@ -11,6 +12,8 @@
 from mimosaridge_core import ledgers
 from mimosaridge_core import messages
 from mimosaridge_core import outcomes
+from mimosaridge_core import policies
+from mimosaridge_core import rooms
 from mimosaridge_core import routing
 from mimosaridge_core import state
 from mimosaridge_core import works
@@ -37,6 +40,7 @@
         spec.needs,
         frozenset((assignment.shard,)),
         _shards_of_others(work) | {assignment.shard},
+        _replicas_by_zone(st, work, index),
     )
     if not shard:
         set_timer(st, st.now + FIRST_RETRY_S, work, index)
@@ -66,6 +70,21 @@
     work.tasks[index].unrecorded = True
 
 
+def _replicas_by_zone(
+    st: state.State, work: state.HomeWork, index: int
+) -> collections.Counter[str]:
+    """Counts a service's other replicas, if the policy spreads them."""
+    spec = work.entry.work
+    if spec.kind != works.Kind.SERVICE or not policies.in_force(st).spreads:
+        return collections.Counter()
+    pairs = zip(work.tasks, work.entry.assignments, strict=True)
+    return collections.Counter(
+        rooms.zone_of(assignment.shard)
+        for other, (task, assignment) in enumerate(pairs)
+        if other != index and task.phase != works.Phase.PENDING
+    )
+
+
 def _shards_of_others(work: state.HomeWork) -> frozenset[str]:
     """Returns where the other tasks of a gang look for room."""
     if work.entry.work.kind != works.Kind.GANG:
--- a/packages/core/mimosaridge_core/policies.py
+++ b/packages/core/mimosaridge_core/policies.py
@@ -33,6 +33,7 @@
         ramps: Whether starts in a zone that came back grow step by step.
         drains: Whether a worker is drained also for the first task of the
             team furthest below its share.
+        spreads: Whether a service's replicas go to the zones with fewest.
         preempts: Whether idempotent batch tasks make room for urgent ones.
     """
 
@@ -47,6 +48,7 @@
     sets_aside: bool = False
     ramps: bool = False
     drains: bool = False
+    spreads: bool = False
 
 
 DEFAULT = "best-fit"
@@ -131,3 +133,9 @@
 def drain_for_share() -> Policy:
     """As team-order; large tasks of teams below their share get a worker."""
     return dataclasses.replace(team_order(), drains=True)
+
+
+@policy("spread")
+def spread() -> Policy:
+    """As preemption; replicas of a service are spread over the zones."""
+    return dataclasses.replace(preemption(), spreads=True)
--- a/packages/core/mimosaridge_core/rooms.py
+++ b/packages/core/mimosaridge_core/rooms.py
@@ -15,6 +15,11 @@
     return f"{PREFIX}{host.zone}-{position}"
 
 
+def zone_of(shard: str) -> str:
+    """Returns the availability zone of a shard's workers."""
+    return shard.removeprefix(PREFIX).rpartition("-")[0]
+
+
 def find_worker(
     st: state.State, worker_id: str, epoch: int
 ) -> tuple[state.Shard, state.Worker] | None:
--- a/packages/core/mimosaridge_core/routing.py
+++ b/packages/core/mimosaridge_core/routing.py
@@ -1,11 +1,14 @@
 """Choosing the shard that a task is sent to."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
+import types
 
 from mimosaridge_core import codes
 from mimosaridge_core import documents
 from mimosaridge_core import messages
 from mimosaridge_core import resources
+from mimosaridge_core import rooms
 from mimosaridge_core import state
 from mimosaridge_core import summaries
 from mimosaridge_core import works
@@ -51,6 +54,7 @@
     needs: resources.Resources,
     avoid: frozenset[str] = frozenset(),
     apart: frozenset[str] = frozenset(),
+    crowd: Mapping[str, int] = types.MappingProxyType({}),
 ) -> str:
     """Returns a shard for a task, or an empty name if none takes it now.
 
@@ -58,7 +62,8 @@
     do not show it yet. Of the shards with room, two are drawn and the one
     with the shorter queue and more free slots is taken. Without room
     anywhere, the shortest queue of a shard with large enough workers is taken,
-    of a shard that is not in `apart` if there is one.
+    of a shard that is not in `apart` if there is one. Zones with the least
+    number in `crowd` go first.
 
     Source: the power of two choices (Mitzenmacher, 2001).
     """
@@ -74,13 +79,26 @@
             capable.append(entry)
             if summary.shard not in avoid and _has_room(st, room, entry, needs):
                 roomy.append(entry)
+    roomy = _least_crowded(roomy, crowd)
     if roomy:
         drawn = st.rng.sample(roomy, min(CHOICES, len(roomy)))
         chosen = min(drawn)[2]
         sent = st.sent_room.get(chosen, resources.ZERO)
         st.sent_room[chosen] = sent + needs
         return chosen
-    return _shortest_queue(st, capable, apart)
+    return _shortest_queue(st, _least_crowded(capable, crowd), apart)
+
+
+def _least_crowded(
+    entries: list[tuple[int, int, str]], crowd: Mapping[str, int]
+) -> list[tuple[int, int, str]]:
+    """Returns the entries whose zone has the least number in `crowd`."""
+    if not crowd or not entries:
+        return entries
+    numbers = [crowd.get(rooms.zone_of(entry[2]), 0) for entry in entries]
+    least = min(numbers)
+    pairs = zip(entries, numbers, strict=True)
+    return [entry for entry, number in pairs if number == least]
 
 
 def _shortest_queue(
--- a/tests/core/test_policies.py
+++ b/tests/core/test_policies.py
@@ -151,3 +151,21 @@
     def test_starts_in_a_zone_that_came_back_grow_step_by_step(self):
         self.assertGreater(5, self._first_starts("ramp"))
         self.assertEqual(14, self._first_starts("team-order"))
+
+
+class SpreadTest(testtools.TestCase):
+    """Replicas of a service over the zones."""
+
+    def _replicas(self, policy):
+        made = _deployment(policy, zones=3, daemons=2, slots=8)
+        made.run(2.0)
+        config = copy.deepcopy(made.daemons["d0"].config)
+        config.number += 1
+        config.services["watch"] = configuration.Service("watch", "a", 9, ONE)
+        made.store._set("config", config, "")
+        made.run(5.0)
+        return sorted(len(_starts(made, f"z{zone}")) for zone in range(3))
+
+    def test_a_service_has_as_many_replicas_in_each_zone(self):
+        self.assertEqual([3, 3, 3], self._replicas("spread"))
+        self.assertNotEqual([3, 3, 3], self._replicas("preemption"))
