--- a/packages/core/mimosaridge_core/account.py
+++ b/packages/core/mimosaridge_core/account.py
@@ -19,6 +19,8 @@
     QUEUED = "queued"
     PLACEMENT = "placement"
     RESERVATION = "reservation"
+    PREEMPTION = "preemption"
+    HEALTH = "health"
     STARTED = "started"
     ENDED = "ended"
     RETRY = "retry"
--- a/packages/core/mimosaridge_core/changes.py
+++ b/packages/core/mimosaridge_core/changes.py
@@ -11,7 +11,7 @@
 from mimosaridge_core import configuration
 from mimosaridge_core import keys
 from mimosaridge_core import limits
-from mimosaridge_core import placement
+from mimosaridge_core import policies
 from mimosaridge_core import resources
 from mimosaridge_core import snapshots
 from mimosaridge_core import works
@@ -402,8 +402,8 @@
         Raises:
             InvalidError: There is no such policy.
         """
-        if self.policy not in placement.POLICIES:
-            known = ", ".join(sorted(placement.POLICIES))
+        if self.policy not in policies.REGISTRY:
+            known = ", ".join(sorted(policies.REGISTRY))
             raise InvalidError(f"A policy is one of {known}.")
         config.policy = self.policy
 
--- a/packages/core/mimosaridge_core/dispatching.py
+++ b/packages/core/mimosaridge_core/dispatching.py
@@ -1,5 +1,6 @@
 """Sending tasks to shards, and sending them again until they are settled."""
 
+import collections
 import heapq
 
 from mimosaridge_core import account
@@ -11,6 +12,8 @@
 from mimosaridge_core import ledgers
 from mimosaridge_core import messages
 from mimosaridge_core import outcomes
+from mimosaridge_core import policies
+from mimosaridge_core import rooms
 from mimosaridge_core import routing
 from mimosaridge_core import state
 from mimosaridge_core import works
@@ -38,6 +41,8 @@
         spec.needs,
         frozenset((assignment.shard,)),
         spec.team if keeps_together else "",
+        _shards_of_others(work) | {assignment.shard},
+        _replicas_by_zone(st, work, index),
     )
     if not shard:
         set_timer(st, st.now + FIRST_RETRY_S, work, index)
@@ -67,6 +72,33 @@
     work.tasks[index].unrecorded = True
 
 
+def _replicas_by_zone(
+    st: state.State, work: state.HomeWork, index: int
+) -> collections.Counter[str]:
+    """Counts a service's other replicas, if the policy spreads them."""
+    spec = work.entry.work
+    if spec.kind != works.Kind.SERVICE or not policies.in_force(st).spreads:
+        return collections.Counter()
+    pairs = zip(work.tasks, work.entry.assignments, strict=True)
+    return collections.Counter(
+        rooms.zone_of(assignment.shard)
+        for other, (task, assignment) in enumerate(pairs)
+        if other != index and task.phase != works.Phase.PENDING
+    )
+
+
+def _shards_of_others(work: state.HomeWork) -> frozenset[str]:
+    """Returns where the other tasks of a gang look for room."""
+    if work.entry.work.kind != works.Kind.GANG:
+        return frozenset()
+    pairs = zip(work.tasks, work.entry.assignments, strict=True)
+    return frozenset(
+        assignment.shard
+        for task, assignment in pairs
+        if task.phase == works.Phase.PLACING
+    )
+
+
 def send_task(
     st: state.State, work: state.HomeWork, index: int, out: list
 ) -> None:
@@ -92,7 +124,7 @@
         state.note(st, out, account.Rule.ROUTING, text, spec.work_id, task_id)
     message = messages.PlaceTask(
         assignment.shard,
-        routing.task_of(spec, index, assignment.attempt, work.home),
+        routing.task_of(spec, index, assignment, work.home),
         assignment.epoch,
         hold=spec.kind == works.Kind.GANG,
         resent=task.sent,
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -17,7 +17,11 @@
 from mimosaridge_core import works
 
 LONGEST_RETRY_S = 5.0
-OWN_STOPS = (codes.Code.OVER_LIMIT, codes.Code.MOVED)
+OWN_STOPS = (
+    codes.Code.OVER_LIMIT,
+    codes.Code.MOVED,
+    codes.Code.PREEMPTED,
+)
 KEPT_ANSWER_BYTES = 4096
 SKEWS_BEFORE_FORGOTTEN = 4
 TOO_LATE = works.Outcome(
@@ -196,7 +200,7 @@
         return spec.start_before > st.now
     if not spec.idempotent or message.phase == works.Phase.DONE:
         return False
-    if message.outcome.code == codes.Code.OVER_LIMIT:
+    if message.outcome.code in OWN_STOPS:
         return True
     if spec.kind == works.Kind.REQUEST and message.phase == works.Phase.FAILED:
         return False
@@ -247,8 +251,8 @@
 
 
 def _was_moved(work: state.HomeWork, message: messages.TaskUpdate) -> bool:
-    """Tells whether a shard gave a task back because another has room."""
-    moved = message.outcome.code == codes.Code.NO_ROOM
+    """Tells whether a shard gave a task back to be sent elsewhere at once."""
+    moved = message.outcome.code in (codes.Code.NO_ROOM, codes.Code.PREEMPTED)
     return moved and work.entry.work.kind != works.Kind.GANG
 
 
--- a/packages/core/mimosaridge_core/partitions.py
+++ b/packages/core/mimosaridge_core/partitions.py
@@ -16,6 +16,7 @@
 from mimosaridge_core import ledgers
 from mimosaridge_core import messages
 from mimosaridge_core import rooms
+from mimosaridge_core import scheduling
 from mimosaridge_core import shards
 from mimosaridge_core import state
 
@@ -97,6 +98,7 @@
     st.partition_names = (*sorted(names), *bucket_names)
     for shard in st.shards.values():
         shards.sync_workers(st, shard, out)
+        scheduling.schedule(st, shard, out)
 
 
 @dispatch.every_tick
--- a/packages/core/mimosaridge_core/placement.py
+++ b/packages/core/mimosaridge_core/placement.py
@@ -11,18 +11,7 @@
 SCAN_LIMIT = 24
 SPARE_ENTRIES = 64
 
-Policy = Callable[["Pool", resources.Resources], str | None]
-POLICIES: dict[str, Policy] = {}
-
-
-def policy(name: str) -> Callable[[Policy], Policy]:
-    """Registers a placement policy under the name that operators choose."""
-
-    def register(chosen: Policy) -> Policy:
-        POLICIES[name] = chosen
-        return chosen
-
-    return register
+Fit = Callable[["Pool", resources.Resources], str | None]
 
 
 class Peak:
@@ -144,6 +133,27 @@
         if endpoint in self.pools:
             self.pools[endpoint].drop(worker_id)
 
+    def emptiest(self, endpoint: str) -> str | None:
+        """Returns the worker with a slot and the most free processor time.
+
+        Without a free slot anywhere, returns the worker listed first.
+        """
+        last = [
+            group[-1]
+            for name, pool in self.pools.items()
+            if endpoint in ("", name)
+            for group in pool.groups.values()
+        ]
+        if last:
+            return max(last)[2]
+        listed = (
+            worker_id
+            for name, pool in self.pools.items()
+            if endpoint in ("", name)
+            for worker_id in pool.free
+        )
+        return next(listed, None)
+
     def is_full(self, endpoint: str) -> bool:
         """Tells whether no worker has a slot; an empty endpoint means all."""
         if endpoint:
@@ -152,21 +162,19 @@
         return not any(pool.groups for pool in self.pools.values())
 
     def find(
-        self, name: str, endpoint: str, needs: resources.Resources
+        self, fit: Fit, endpoint: str, needs: resources.Resources
     ) -> str | None:
-        """Returns a worker with room by the named policy, or None."""
-        chosen = POLICIES.get(name, best_fit)
+        """Returns a worker with room, chosen by `fit`, or None."""
         if endpoint:
             pool = self.pools.get(endpoint)
-            return chosen(pool, needs) if pool else None
+            return fit(pool, needs) if pool else None
         for pool in self.pools.values():
-            worker_id = chosen(pool, needs)
+            worker_id = fit(pool, needs)
             if worker_id is not None:
                 return worker_id
         return None
 
 
-@policy("best-fit")
 def best_fit(pool: Pool, needs: resources.Resources) -> str | None:
     """Chooses the fullest worker that fits, sparing accelerators.
 
@@ -193,7 +201,6 @@
     return None
 
 
-@policy("first-fit")
 def first_fit(pool: Pool, needs: resources.Resources) -> str | None:
     """Chooses the first worker that fits, in the order of listing."""
     for worker_id, free in pool.free.items():
--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -4,10 +4,13 @@
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import messages
+from mimosaridge_core import policies
 from mimosaridge_core import queueing
+from mimosaridge_core import reservations
 from mimosaridge_core import rooms
 from mimosaridge_core import scheduling
 from mimosaridge_core import settling
+from mimosaridge_core import starting
 from mimosaridge_core import state
 from mimosaridge_core import stopping
 from mimosaridge_core import summaries
@@ -75,6 +78,9 @@
     waiting = queueing.Waiting(task, message.hold, sender, st.now, until)
     shard.queue.add(waiting)
     scheduling.schedule_new(st, shard, waiting, out)
+    is_waiting = (task.task_id, task.attempt) in shard.queue.waiting
+    if message.hold and is_waiting and policies.in_force(st).reserves:
+        reservations.drain_for(st, shard, waiting)
 
 
 def _refusal(
@@ -108,7 +114,7 @@
     if placed.phase != works.Phase.HELD:
         return
     if _may_start_held(st, shard, worker):
-        scheduling.send_start(st, shard, worker, placed, out)
+        starting.send_start(st, shard, worker, placed, out)
         return
     rooms.give_room(shard, worker, key)
     settling.settle_cancelled(st, shard, placed.task, out)
--- a/packages/core/mimosaridge_core/queueing.py
+++ b/packages/core/mimosaridge_core/queueing.py
@@ -29,23 +29,34 @@
     until: float
 
 
-Lane = tuple[str, str]
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lane:
+    """Names the waiting tasks that are placed in order of arrival."""
+
+    urgency: works.Urgency
+    team: str
+    endpoint: str
+    gang: bool = False
+
+
+def lane_of(task: works.Task) -> Lane:
+    """Returns the lane that a task waits in."""
+    gang = task.kind == works.Kind.GANG
+    return Lane(task.urgency, task.team, task.endpoint, gang)
 
 
 class Queue:
-    """Waiting tasks in lanes, one for each team and endpoint.
+    """Waiting tasks in lanes, by urgency, team, endpoint and gangs.
 
     Attributes:
         waiting: All waiting tasks by id and attempt.
-        lanes: For each urgency class, the lanes' tasks in order of arrival.
+        lanes: The lanes' tasks in order of arrival.
         deadlines: Heap of when to give up; may name tasks that left.
     """
 
     def __init__(self) -> None:
         self.waiting: dict[TaskKey, Waiting] = {}
-        self.lanes: dict[
-            works.Urgency, dict[Lane, collections.deque[TaskKey]]
-        ] = {urgency: {} for urgency in works.Urgency}
+        self.lanes: dict[Lane, collections.deque[TaskKey]] = {}
         self.deadlines: list[tuple[float, TaskKey]] = []
 
     def __len__(self) -> int:
@@ -56,35 +67,40 @@
         task = waiting.task
         key = (task.task_id, task.attempt)
         self.waiting[key] = waiting
-        lanes = self.lanes[task.urgency]
-        lane = (task.team, task.endpoint)
-        lanes.setdefault(lane, collections.deque()).append(key)
+        lane = lane_of(task)
+        self.lanes.setdefault(lane, collections.deque()).append(key)
         heapq.heappush(self.deadlines, (waiting.until, key))
 
+    def extend(self, waiting: Waiting, until: float) -> None:
+        """Lets a task wait longer."""
+        waiting.until = until
+        key = (waiting.task.task_id, waiting.task.attempt)
+        heapq.heappush(self.deadlines, (until, key))
+
     def remove(self, key: TaskKey) -> Waiting | None:
         """Removes a task; its place in the lane is skipped later."""
         return self.waiting.pop(key, None)
 
-    def head(self, urgency: works.Urgency, lane: Lane) -> Waiting | None:
+    def head(self, lane: Lane) -> Waiting | None:
         """Returns the first task of a lane, or None, dropping empty lanes."""
-        lanes = self.lanes[urgency]
-        keys = lanes.get(lane)
+        keys = self.lanes.get(lane)
         while keys:
             waiting = self.waiting.get(keys[0])
             if waiting is not None:
                 return waiting
             keys.popleft()
-        lanes.pop(lane, None)
+        self.lanes.pop(lane, None)
         return None
 
-    def open_lanes(self, urgency: works.Urgency) -> list[Lane]:
-        """Returns the lanes of an urgency class that may hold tasks."""
-        return list(self.lanes[urgency])
+    def open_lanes(self) -> list[Lane]:
+        """Returns the lanes that may hold tasks."""
+        return list(self.lanes)
 
     def overdue(self, now: float) -> Iterator[Waiting]:
         """Removes and yields tasks that have waited long enough."""
         while self.deadlines and self.deadlines[0][0] <= now:
             _, key = heapq.heappop(self.deadlines)
-            waiting = self.remove(key)
-            if waiting is not None:
+            waiting = self.waiting.get(key)
+            if waiting is not None and waiting.until <= now:
+                del self.waiting[key]
                 yield waiting
--- a/packages/core/mimosaridge_core/rebalancing.py
+++ b/packages/core/mimosaridge_core/rebalancing.py
@@ -3,6 +3,8 @@
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import messages
+from mimosaridge_core import policies
+from mimosaridge_core import preemption
 from mimosaridge_core import queueing
 from mimosaridge_core import resources
 from mimosaridge_core import routing
@@ -20,12 +22,12 @@
     if not any(len(shard.queue) for shard in st.shards.values()):
         return
     rooms = _rooms(st)
-    elsewhere = {name: scheduling.Pass() for name in st.shards}
+    chosen = policies.in_force(st)
+    elsewhere = {name: scheduling.Pass(chosen) for name in st.shards}
     for shard in st.shards.values():
-        for urgency in works.Urgency:
-            for lane in shard.queue.open_lanes(urgency):
-                learned = elsewhere[shard.name]
-                _give_back(st, shard, urgency, lane, rooms, learned, out)
+        for lane in shard.queue.open_lanes():
+            learned = elsewhere[shard.name]
+            _give_back(st, shard, lane, rooms, learned, out)
 
 
 def _rooms(st: state.State) -> dict[str, list[messages.Room]]:
@@ -49,13 +51,12 @@
 def _give_back(
     st: state.State,
     shard: state.Shard,
-    urgency: works.Urgency,
     lane: queueing.Lane,
     rooms: dict[str, list[messages.Room]],
     learned: scheduling.Pass,
     out: list,
 ) -> None:
-    waiting = shard.queue.head(urgency, lane)
+    waiting = shard.queue.head(lane)
     while waiting is not None and _moves(st, shard, waiting, rooms, learned):
         task = waiting.task
         shard.queue.remove((task.task_id, task.attempt))
@@ -64,7 +65,7 @@
             f"{shard.name} has no room now and another shard has.",
         )
         settling.settle(st, shard, task, works.Phase.NOT_RUN, outcome, "", out)
-        waiting = shard.queue.head(urgency, lane)
+        waiting = shard.queue.head(lane)
 
 
 def _moves(
@@ -80,6 +81,9 @@
         return False
     if learned.is_refused(task) or not scheduling.lacks_room(st, shard, task):
         return False
+    may_pass = policies.in_force(st).preempts and len(rooms) > 1
+    if may_pass and preemption.passes_on(st, shard, waiting):
+        return True
     for name, candidates in rooms.items():
         if name == shard.name:
             continue
--- a/packages/core/mimosaridge_core/rooms.py
+++ b/packages/core/mimosaridge_core/rooms.py
@@ -15,6 +15,11 @@
     return f"{PREFIX}{host.zone}-{position}"
 
 
+def zone_of(shard: str) -> str:
+    """Returns the availability zone of a shard's workers."""
+    return shard.removeprefix(PREFIX).rpartition("-")[0]
+
+
 def find_worker(
     st: state.State, worker_id: str, epoch: int
 ) -> tuple[state.Shard, state.Worker] | None:
@@ -64,7 +69,8 @@
         shard.unheard.discard(host.worker_id)
     else:
         shard.unheard.add(host.worker_id)
-    if summaries.takes_work(worker):
+    kept = host.worker_id in shard.reserved or host.worker_id in shard.aside
+    if summaries.takes_work(worker) and not kept:
         shard.index.put(host.endpoint, host.worker_id, worker.free)
     else:
         shard.index.drop(host.endpoint, host.worker_id)
--- a/packages/core/mimosaridge_core/routing.py
+++ b/packages/core/mimosaridge_core/routing.py
@@ -1,10 +1,15 @@
 """Choosing the shard that a task is sent to."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
+import types
 
 from mimosaridge_core import affinity
+from mimosaridge_core import codes
+from mimosaridge_core import documents
 from mimosaridge_core import messages
 from mimosaridge_core import resources
+from mimosaridge_core import rooms
 from mimosaridge_core import state
 from mimosaridge_core import summaries
 from mimosaridge_core import works
@@ -50,14 +55,18 @@
     needs: resources.Resources,
     avoid: frozenset[str] = frozenset(),
     team: str = "",
+    apart: frozenset[str] = frozenset(),
+    crowd: Mapping[str, int] = types.MappingProxyType({}),
 ) -> str:
     """Returns a shard for a task, or an empty name if none takes it now.
 
     What was sent since the last heartbeat counts as taken, since summaries
     do not show it yet. Of the shards with room, two are drawn and the one
     with the shorter queue and more free slots is taken. Without room
-    anywhere, the shortest queue of a shard with large enough workers is taken.
-    Shards that a limited team's work goes to first go before others.
+    anywhere, the shortest queue of a shard with large enough workers is taken,
+    of a shard that is not in `apart` if there is one. Shards that a limited
+    team's work goes to first go before others, then zones with the least
+    number in `crowd`.
 
     Source: the power of two choices (Mitzenmacher, 2001).
     """
@@ -77,13 +86,44 @@
     first = affinity.preferred(st, team, names)
     roomy = [entry for entry in roomy if entry[2] in first] or roomy
     capable = [entry for entry in capable if entry[2] in first]
+    roomy = _least_crowded(roomy, crowd)
     if roomy:
         drawn = st.rng.sample(roomy, min(CHOICES, len(roomy)))
         chosen = min(drawn)[2]
         sent = st.sent_room.get(chosen, resources.ZERO)
         st.sent_room[chosen] = sent + needs
         return chosen
-    return min(capable)[2] if capable else ""
+    return _shortest_queue(st, _least_crowded(capable, crowd), apart)
+
+
+def _least_crowded(
+    entries: list[tuple[int, int, str]], crowd: Mapping[str, int]
+) -> list[tuple[int, int, str]]:
+    """Returns the entries whose zone has the least number in `crowd`."""
+    if not crowd or not entries:
+        return entries
+    numbers = [crowd.get(rooms.zone_of(entry[2]), 0) for entry in entries]
+    least = min(numbers)
+    pairs = zip(entries, numbers, strict=True)
+    return [entry for entry, number in pairs if number == least]
+
+
+def _shortest_queue(
+    st: state.State,
+    capable: list[tuple[int, int, str]],
+    apart: frozenset[str],
+) -> str:
+    """Returns a shard with the shortest queue, drawn among equals."""
+    if not capable:
+        return ""
+    ranks = [(shard in apart, queued) for queued, _, shard in capable]
+    least = min(ranks)
+    equals = [
+        entry[2]
+        for entry, rank in zip(capable, ranks, strict=True)
+        if rank == least
+    ]
+    return st.rng.choice(equals)
 
 
 def _has_room(
@@ -97,12 +137,17 @@
 
 
 def task_of(
-    work: works.Work, index: int, attempt: int, home: str
+    work: works.Work,
+    index: int,
+    assignment: documents.Assignment,
+    home: str,
 ) -> works.Task:
     """Returns one attempt at one task of some work."""
+    ran = assignment.ran
+    preempted = ran is not None and ran.code == codes.Code.PREEMPTED
     return works.Task(
         f"{work.work_id}/{index}",
-        attempt,
+        assignment.attempt,
         work.work_id,
         home,
         work.team,
@@ -115,4 +160,5 @@
         work.declared_run_s,
         work.idempotent,
         work.body,
+        ran.answer if preempted else b"",
     )
--- a/packages/core/mimosaridge_core/standings.py
+++ b/packages/core/mimosaridge_core/standings.py
@@ -9,6 +9,7 @@
 from mimosaridge_core import events
 from mimosaridge_core import fairness
 from mimosaridge_core import messages
+from mimosaridge_core import policies
 from mimosaridge_core import queries
 from mimosaridge_core import queueing
 from mimosaridge_core import resources
@@ -142,7 +143,9 @@
         return f"zone {shard.zone} was taken out."
     if not fairness.within_limit(st, shard, task):
         return f"team {task.team} is at its upper limit there."
-    fits = shard.index.find(st.config.policy, task.endpoint, task.needs)
+    fits = shard.index.find(
+        policies.in_force(st).fit, task.endpoint, task.needs
+    )
     if fits is None:
         return f"no worker there has room for {describe(task.needs)}."
     return "others go first: more urgent, or of teams further below share."
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -102,6 +102,8 @@
         displaced: Whether a newer owner has claimed it.
         lease_ends: When its task leases have surely ended.
         set_aside: Whether operators set it aside.
+        failing: Works that failed on it since it last finished one.
+        probe_after_s: How long it was last set aside, in seconds.
     """
 
     host: events.Host
@@ -115,6 +117,8 @@
     displaced: bool = False
     lease_ends: float = 0.0
     set_aside: bool = False
+    failing: set[str] = dataclasses.field(default_factory=set)
+    probe_after_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -130,6 +134,19 @@
     until: float
 
 
+@dataclasses.dataclass(slots=True)
+class Reservation:
+    """A worker that takes nothing else until one waiting task is placed.
+
+    Attributes:
+        key: The waiting task.
+        until: Deadline of the reservation, seconds since the epoch.
+    """
+
+    key: TaskKey
+    until: float
+
+
 @dataclasses.dataclass(slots=True)
 class Capacity:
     """What all workers of one endpoint in a shard have.
@@ -158,6 +175,14 @@
         capacities: For each endpoint, what all of its workers have.
         rooms: For each endpoint, what is left; None when it has changed.
         places: Worker of each placed task.
+        reserved: Workers that are kept for a waiting task.
+        aside: Workers that are set aside, with the time of their next probe,
+            seconds since the epoch.
+        is_out: Whether its zone was out under the last configuration.
+        returned_at: When its zone last came back, seconds since the epoch.
+        starts_since: Starts since then.
+        failed_on: For each work that failed, the worker that it failed on
+            first.
         holds: Heap of the deadlines of holds; may name tasks that left.
         ended: Settled updates that their homes have not yet taken.
         taken: Attempts whose ends their homes have kept.
@@ -176,6 +201,12 @@
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     index: placement.Index = dataclasses.field(default_factory=placement.Index)
     queue: queueing.Queue = dataclasses.field(default_factory=queueing.Queue)
+    reserved: dict[str, Reservation] = dataclasses.field(default_factory=dict)
+    aside: dict[str, float] = dataclasses.field(default_factory=dict)
+    is_out: bool = False
+    returned_at: float = 0.0
+    starts_since: int = 0
+    failed_on: dict[str, str] = dataclasses.field(default_factory=dict)
     unheard: set[str] = dataclasses.field(default_factory=set)
     capacities: dict[str, Capacity] = dataclasses.field(default_factory=dict)
     rooms: list[messages.Room] | None = None
--- a/packages/core/mimosaridge_core/stopping.py
+++ b/packages/core/mimosaridge_core/stopping.py
@@ -50,7 +50,7 @@
 def _return_waiting(st: state.State, shard: state.Shard, out: list) -> None:
     """Gives waiting tasks back to their homes, which send them elsewhere."""
     outcome = works.Outcome(
-        codes.Code.NOT_RUN, f"Zone {shard.zone} was taken out."
+        codes.Code.NO_ROOM, f"Zone {shard.zone} was taken out."
     )
     for key in list(shard.queue.waiting):
         task = shard.queue.remove(key).task
--- a/packages/core/mimosaridge_core/tunables.py
+++ b/packages/core/mimosaridge_core/tunables.py
@@ -19,6 +19,7 @@
         hold_wait_s: How long a task of an all-at-once job waits for room to
             hold.
         hold_s: How long room is held for an all-at-once job.
+        gang_hold_s: As hold_s, where workers are drained for such jobs.
         worker_lease_s: Life of a worker's task leases.
         worker_poll_s: Longest call that keeps a worker's leases renewed.
         lease_margin_s: Added before a lease counts as surely ended.
@@ -54,6 +55,7 @@
     rebalance_s: float = 0.3
     hold_wait_s: float = 2.0
     hold_s: float = 5.0
+    gang_hold_s: float = 20.0
     worker_lease_s: float = 20.0
     worker_poll_s: float = 5.0
     lease_margin_s: float = 2.0
--- a/standins/mimosaridge_fakes/deployments.py
+++ b/standins/mimosaridge_fakes/deployments.py
@@ -399,7 +399,7 @@
     def _start(
         self, name: str, worker: workers.Worker, effect: effects.StartTask
     ) -> None:
-        task = copy.deepcopy(effect.task)
+        task = stores.copied(effect.task)
         key = (task.task_id, task.attempt)
         code = codes.Code.UNKNOWN
         fresh = key not in worker.runs
@@ -445,6 +445,8 @@
 
     def _plan_end(self, worker: workers.Worker, task: works.Task) -> None:
         run_s = self.run_s(task)
+        if run_s is not None:
+            run_s = max(0.0, run_s - float(task.checkpoint or 0.0))
         if run_s is None or task.kind == works.Kind.SERVICE:
             return
         key = (task.task_id, task.attempt)
@@ -470,6 +472,8 @@
         key = (effect.task_id, effect.attempt)
         if isinstance(effect, effects.ForgetTask):
             worker.forget(key)
+        elif effect.checkpoint:
+            self._report(worker, worker.checkpoint(key, self.now))
         else:
             self._at(
                 self.now + worker.stop_s,
@@ -494,6 +498,8 @@
             fields.pop("urgency", works.Urgency.NORMAL),
             self.now + fields.pop("within_s", 30.0),
             self.now,
+            fields.pop("declared_run_s", 0.0),
+            fields.pop("body", b""),
         )
         self.handle += 1
         token = fields.pop("token", f"k-{team}.secret")
--- a/tests/core/test_scheduling.py
+++ b/tests/core/test_scheduling.py
@@ -39,8 +39,8 @@
                 index.put("registry", worker_id, amount)
                 free[worker_id] = amount
         fitting = {name for name, room in free.items() if needs.fits(room)}
-        for policy in ("best-fit", "first-fit"):
-            found = index.find(policy, "registry", needs)
+        for fit in (placement.best_fit, placement.first_fit):
+            found = index.find(fit, "registry", needs)
             if fitting:
                 self.assertIn(found, fitting)
             else:
