Keep an answer at a leaving home until its caller's daemon has asked

Cause of the red rolling restart: a home handed over in mid-request does not know who waits until that daemon forwards the work again, up to a second later. It settled the request, told nobody, and was itself handed over; the ledger keeps no answer above 4 KiB, so the next home said ANSWER_NOT_KEPT. Ruled out: keeping large answers in the ledger (its size); persisting origins (they change with each retry). Also: one stop for all reasons of an owner (limit, urgent work, a move), which stood three times; moved tasks now carry a checkpoint as preempted ones do. Conclusion: the handover of a bucket may take up to two resends longer when such an answer waits.

--- a/packages/core/mimosaridge_core/codes.py
+++ b/packages/core/mimosaridge_core/codes.py
@@ -106,6 +106,9 @@
     ),
 }
 
+# Ends whose answer is a checkpoint from which the next attempt goes on.
+GO_ON = (Code.MOVED, Code.PREEMPTED)
+
 
 def is_not_run(code: Code) -> bool:
     """Tells whether the code promises that the work never ran.
--- a/packages/core/mimosaridge_core/outcomes.py
+++ b/packages/core/mimosaridge_core/outcomes.py
@@ -23,6 +23,7 @@
     codes.Code.PREEMPTED,
 )
 KEPT_ANSWER_BYTES = 4096
+UNTOLD_RESENDS = 2
 SKEWS_BEFORE_FORGOTTEN = 4
 TOO_LATE = works.Outcome(
     codes.Code.DEADLINE_PASSED, "It could not start before its deadline."
@@ -354,6 +355,23 @@
         out.append(effects.SendPeer(origin, settled))
 
 
+def keeps_untold(st: state.State, home: str) -> bool:
+    """Tells whether a home has an answer that only it can still tell.
+
+    A daemon whose caller waits asks within `resend_s`; an answer that no
+    ledger holds and nobody was told waits for that, and some more.
+    """
+    since = st.now - UNTOLD_RESENDS * st.tuning.resend_s
+    return any(
+        work.home == home
+        and not work.origins
+        and work.whole is not None
+        and len(work.whole.answer) > KEPT_ANSWER_BYTES
+        and work.entry.settled_at > since
+        for work in st.works.values()
+    )
+
+
 def kept_until(st: state.State, entry: documents.Entry) -> float:
     """Returns when an outcome may be forgotten, seconds since the epoch.
 
--- a/packages/core/mimosaridge_core/overuse.py
+++ b/packages/core/mimosaridge_core/overuse.py
@@ -3,11 +3,10 @@
 from mimosaridge_core import account
 from mimosaridge_core import codes
 from mimosaridge_core import configuration
-from mimosaridge_core import effects
 from mimosaridge_core import limits
 from mimosaridge_core import resources
-from mimosaridge_core import settling
 from mimosaridge_core import state
+from mimosaridge_core import stopping
 from mimosaridge_core import works
 
 # Owners give up what they don't use before any of them stops a task.
@@ -62,7 +61,16 @@
         if not placed.stopping and used.fits(keep):
             continue
         used = used - placed.task.needs
-        _send_stop(st, shard, worker, placed, out)
+        stopping.stop(
+            st,
+            shard,
+            worker,
+            placed,
+            codes.Code.OVER_LIMIT,
+            account.Rule.LIMIT,
+            f"Stopped: the upper limit of team {team.name} was lowered.",
+            out,
+        )
 
 
 def _candidates(
@@ -79,29 +87,3 @@
     found.sort(key=lambda pair: STOP_ORDER.index(pair[1].task.kind))
     found.sort(key=lambda pair: not pair[1].stopping)
     return found
-
-
-def _send_stop(
-    st: state.State,
-    shard: state.Shard,
-    worker: state.Worker,
-    placed: state.Placed,
-    out: list,
-) -> None:
-    task = placed.task
-    if not placed.stopping:
-        placed.stopping = True
-        placed.stop_code = codes.Code.OVER_LIMIT
-        text = f"Stopped: the upper limit of team {task.team} was lowered."
-        settling.note_task(
-            st, shard, task, account.Rule.LIMIT, text, out, placed.stop_code
-        )
-    out.append(
-        effects.StopTask(
-            worker.host.worker_id,
-            worker.host.url,
-            shard.epoch,
-            task.task_id,
-            task.attempt,
-        )
-    )
--- a/packages/core/mimosaridge_core/partitions.py
+++ b/packages/core/mimosaridge_core/partitions.py
@@ -15,6 +15,7 @@
 from mimosaridge_core import hashing
 from mimosaridge_core import ledgers
 from mimosaridge_core import messages
+from mimosaridge_core import outcomes
 from mimosaridge_core import rooms
 from mimosaridge_core import scheduling
 from mimosaridge_core import shards
@@ -263,6 +264,8 @@
         bucket.releasing = True
         if bucket.dirty or bucket.writing or not bucket.loaded:
             return
+        if outcomes.keeps_untold(st, partition):
+            return
     elif partition in st.shards:
         st.shards[partition].releasing = True
     number = st.next_number()
--- a/packages/core/mimosaridge_core/preemption.py
+++ b/packages/core/mimosaridge_core/preemption.py
@@ -9,14 +9,13 @@
 
 from mimosaridge_core import account
 from mimosaridge_core import codes
-from mimosaridge_core import effects
 from mimosaridge_core import fairness
 from mimosaridge_core import queueing
 from mimosaridge_core import reservations
 from mimosaridge_core import resources
-from mimosaridge_core import settling
 from mimosaridge_core import starting
 from mimosaridge_core import state
+from mimosaridge_core import stopping
 from mimosaridge_core import summaries
 from mimosaridge_core import works
 
@@ -45,7 +44,16 @@
     _, worker, victims = best
     reservations.reserve(shard, worker, waiting, st.now + RESERVED_S)
     for victim in victims:
-        _stop(st, shard, worker, victim, task, out)
+        stopping.stop(
+            st,
+            shard,
+            worker,
+            victim,
+            codes.Code.PREEMPTED,
+            account.Rule.PREEMPTION,
+            f"Stopped with a checkpoint for urgent {task.task_id}.",
+            out,
+        )
 
 
 def _takes_drained(
@@ -149,29 +157,3 @@
         and placed.task.urgency > task.urgency
         and placed.phase == works.Phase.RUNNING
     )
-
-
-def _stop(
-    st: state.State,
-    shard: state.Shard,
-    worker: state.Worker,
-    placed: state.Placed,
-    urgent: works.Task,
-    out: list,
-) -> None:
-    task = placed.task
-    if not placed.stopping:
-        placed.stopping = True
-        placed.stop_code = codes.Code.PREEMPTED
-        text = f"Stopped with a checkpoint for urgent {urgent.task_id}."
-        settling.note_task(st, shard, task, account.Rule.PREEMPTION, text, out)
-    out.append(
-        effects.StopTask(
-            worker.host.worker_id,
-            worker.host.url,
-            shard.epoch,
-            task.task_id,
-            task.attempt,
-            checkpoint=True,
-        )
-    )
--- a/packages/core/mimosaridge_core/routing.py
+++ b/packages/core/mimosaridge_core/routing.py
@@ -144,7 +144,7 @@
 ) -> works.Task:
     """Returns one attempt at one task of some work."""
     ran = assignment.ran
-    preempted = ran is not None and ran.code == codes.Code.PREEMPTED
+    goes_on = ran is not None and ran.code in codes.GO_ON
     return works.Task(
         f"{work.work_id}/{index}",
         assignment.attempt,
@@ -160,5 +160,5 @@
         work.declared_run_s,
         work.idempotent,
         work.body,
-        ran.answer if preempted else b"",
+        ran.answer if goes_on else b"",
     )
--- a/packages/core/mimosaridge_core/stopping.py
+++ b/packages/core/mimosaridge_core/stopping.py
@@ -1,5 +1,6 @@
 """Stops of running tasks, and moves away from zones and workers that leave."""
 
+from mimosaridge_core import account
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
 from mimosaridge_core import effects
@@ -8,6 +9,24 @@
 from mimosaridge_core import works
 
 
+def stop(
+    st: state.State,
+    shard: state.Shard,
+    worker: state.Worker,
+    placed: state.Placed,
+    code: codes.Code,
+    rule: account.Rule,
+    text: str,
+    out: list,
+) -> None:
+    """Stops a task for a reason of the owner's, unless it is stopping."""
+    if placed.stopping:
+        return
+    placed.stop_code = code
+    settling.note_task(st, shard, placed.task, rule, text, out, code)
+    send_stop(st, shard, worker, placed, out)
+
+
 def send_stop(
     st: state.State,
     shard: state.Shard,
@@ -21,7 +40,11 @@
     shard.stops[(worker.host.worker_id, key)] = st.now + st.tuning.resend_s
     out.append(
         effects.StopTask(
-            worker.host.worker_id, worker.host.url, shard.epoch, *key
+            worker.host.worker_id,
+            worker.host.url,
+            shard.epoch,
+            *key,
+            checkpoint=placed.stop_code in codes.GO_ON,
         )
     )
 
@@ -74,9 +97,17 @@
         return
     shard.move_at = st.now + 1.0 / st.tuning.moves_per_s
     _, key, worker = min(candidates, key=lambda item: item[:2])
-    placed = worker.placed[key]
-    placed.stop_code = codes.Code.MOVED
-    send_stop(st, shard, worker, placed, out)
+    text = f"Stopped on worker {worker.host.worker_id}, to go on elsewhere."
+    stop(
+        st,
+        shard,
+        worker,
+        worker.placed[key],
+        codes.Code.MOVED,
+        account.Rule.ROUTING,
+        text,
+        out,
+    )
 
 
 def _can_move(placed: state.Placed) -> bool:
