Use plain names for archived accounts

Cause: the newcomer's read-through met 'story' and 'torment', which are metaphors. Ruled out: leaving them (house style). Conclusion: names only.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -178,7 +178,7 @@
 
     # Faults.
 
-    def torment(self) -> None:
+    def inject_faults(self) -> None:
         """Injects faults until time is up."""
         kinds = (
             self.kill_daemon,
@@ -421,7 +421,7 @@
             threads.append(threading.Thread(target=self.job_maker))
             for thread in threads:
                 thread.start()
-            self.torment()
+            self.inject_faults()
             for thread in threads:
                 thread.join()
             self.await_jobs()
--- a/packages/core/mimosaridge_core/account.py
+++ b/packages/core/mimosaridge_core/account.py
@@ -1,4 +1,4 @@
-"""Records of decisions, from which `mimosaridge explain` tells its story."""
+"""Records of decisions, which `mimosaridge explain` puts in order."""
 
 import collections
 import dataclasses
@@ -93,7 +93,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Story:
+class WorkAccount:
     """The account of settled work, as it is kept in the store.
 
     Attributes:
--- a/packages/core/mimosaridge_core/archives.py
+++ b/packages/core/mimosaridge_core/archives.py
@@ -82,17 +82,17 @@
     except ValueError:
         work.entry.archived = True
         return
-    bucket.stories.setdefault(page, {})[work_id] = _story(st, work)
+    bucket.accounts.setdefault(page, {})[work_id] = _account_of(st, work)
 
 
-def _story(st: state.State, work: state.HomeWork) -> account.Story:
+def _account_of(st: state.State, work: state.HomeWork) -> account.WorkAccount:
     entry = work.entry
     spec = entry.work
     own = [account.line_of(item) for item in st.ring.of(spec.work_id)]
     keep_lines(work, own)
     if all(line.rule != account.Rule.SETTLED for line in work.lines):
         work.lines.append(_last_line(st, entry))
-    return account.Story(
+    return account.WorkAccount(
         spec.work_id,
         spec.team,
         spec.kind,
@@ -123,7 +123,7 @@
     for bucket in st.buckets.values():
         if not bucket.loaded or bucket.releasing:
             continue
-        if bucket.stories and not bucket.archiving:
+        if bucket.accounts and not bucket.archiving:
             _read_page(st, bucket, out)
         if bucket.retire_at <= st.now:
             _delete_oldest(st, bucket, out)
@@ -133,7 +133,7 @@
     if bucket.archive_at > st.now:
         return
     bucket.archive_at = st.now + st.tuning.archive_s
-    bucket.archiving = min(bucket.stories)
+    bucket.archiving = min(bucket.accounts)
     number = st.next_number()
     st.operations[number] = PageRead(bucket.name, bucket.archiving)
     key = key_of(bucket.name, bucket.archiving)
@@ -169,15 +169,15 @@
     bucket = st.buckets.get(operation.bucket)
     if bucket is None or bucket.archiving != operation.page:
         return
-    stories = bucket.stories.get(operation.page)
-    if event.result == "unknown" or not stories:
+    accounts = bucket.accounts.get(operation.page)
+    if event.result == "unknown" or not accounts:
         bucket.archiving = 0
         return
     page = event.value or documents.Page()
-    page.stories.update(stories)
+    page.accounts.update(accounts)
     number = st.next_number()
     st.operations[number] = PageWritten(
-        bucket.name, operation.page, list(stories)
+        bucket.name, operation.page, list(accounts)
     )
     key = key_of(bucket.name, operation.page)
     out.append(effects.StoreWrite(number, key, page, event.revision))
@@ -196,12 +196,12 @@
     bucket.archiving = 0
     if event.result != "ok":
         return
-    stories = bucket.stories[operation.page]
+    accounts = bucket.accounts[operation.page]
     for work_id in operation.work_ids:
-        stories.pop(work_id, None)
+        accounts.pop(work_id, None)
         entry = bucket.ledger.entries.get(work_id)
         if entry is not None:
             entry.archived = True
             bucket.dirty = True
-    if not stories:
-        del bucket.stories[operation.page]
+    if not accounts:
+        del bucket.accounts[operation.page]
--- a/packages/core/mimosaridge_core/documents.py
+++ b/packages/core/mimosaridge_core/documents.py
@@ -102,10 +102,12 @@
     """Accounts of settled work of one bucket, by the minute of their ids.
 
     Attributes:
-        stories: Accounts by work id.
+        accounts: Accounts by work id.
     """
 
-    stories: dict[str, account.Story] = dataclasses.field(default_factory=dict)
+    accounts: dict[str, account.WorkAccount] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/explanations.py
+++ b/packages/core/mimosaridge_core/explanations.py
@@ -24,13 +24,13 @@
     Attributes:
         work_id: The work.
         lines: What was decided, oldest first.
-        story: The archived account, if there is one.
+        archived: The archived account, if there is one.
         silent: Daemons, or the store, that did not answer in time.
     """
 
     work_id: str
     lines: list[account.Line]
-    story: account.Story | None
+    archived: account.WorkAccount | None
     silent: list[str]
 
 
@@ -87,9 +87,9 @@
     if event.result == "unknown":
         explanation.silent.append("the store")
     if event.value is not None:
-        story = event.value.stories.get(explanation.work_id)
-        explanation.story = story
-        explanation.lines += story.lines if story else []
+        archived = event.value.accounts.get(explanation.work_id)
+        explanation.archived = archived
+        explanation.lines += archived.lines if archived else []
     _reply(operation.handle, explanation, out)
 
 
--- a/packages/core/mimosaridge_core/state.py
+++ b/packages/core/mimosaridge_core/state.py
@@ -326,7 +326,7 @@
         untaken: Updates to be confirmed once the ledger is written.
         lease_id: Store lease that the ownership key goes with.
         releasing: Whether it is being given up.
-        stories: Accounts that the store does not have yet, by page.
+        accounts: Accounts that the store does not have yet, by page.
         archiving: Page that is being read or written; 0 for none.
         archive_at: Earliest time of the next page.
         retire_at: When the oldest page is deleted next.
@@ -352,7 +352,7 @@
     )
     lease_id: str = ""
     releasing: bool = False
-    stories: dict[int, dict[str, account.Story]] = dataclasses.field(
+    accounts: dict[int, dict[str, account.WorkAccount]] = dataclasses.field(
         default_factory=dict
     )
     archiving: int = 0
