--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -211,5 +211,5 @@
 
 OwnershipTest = OwnershipMachine.TestCase
 OwnershipTest.settings = hypothesis.settings(
-    max_examples=25, stateful_step_count=30
+    max_examples=60, stateful_step_count=30
 )
