--- /dev/null
+++ b/mimosaridge.py
@@ -0,0 +1,18 @@
+"""Starts the daemon on the users' platform from a checkout."""
+
+# The standard library must be patched before anything else is imported.
+from gevent import monkey
+
+monkey.patch_all()
+
+import pathlib  # noqa: E402
+import sys  # noqa: E402
+
+ROOT = pathlib.Path(__file__).resolve().parent
+for folder in ("packages/core", "packages/daemon", "platform"):
+    sys.path.insert(0, str(ROOT / folder))
+
+from mimosaridge_daemon.jobs import main  # noqa: E402
+
+if __name__ == "__main__":
+    main.main()
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/election.py
@@ -0,0 +1,56 @@
+"""Who should become the owner of the jobs.
+
+The store decides who is: the key of ownership is swapped under the condition
+of its revision, and that revision is the fencing token. This module decides
+who should try. No clock is trusted: a needless change of owner costs a pause
+but breaks nothing.
+"""
+
+import dataclasses
+
+# An owner that no one has heard for this long is replaced: four beats missed.
+OWNER_SILENCE_S = 1.2
+# Successors wait up to this long, at random, so that one is first.
+SPREAD_S = 0.15
+# An owner that reaches the store by no way for this long is replaced.
+OWNER_STORELESS_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """What a daemon knows of the owner.
+
+    Attributes:
+        is_known: Whether the key of ownership was read.
+        revision: Its revision; 0 if no one is the owner.
+        owner: Name of the owner's daemon.
+        boot: Id of the owner's process.
+        heard_at: When the owner was last heard, or its key last changed.
+        heard_elsewhere_at: When a peer last heard the owner, as it says.
+        storeless_since: Since when the owner says that it has no store; 0 if
+            it has.
+        is_gone: Whether the owner's process has surely ended or leaves.
+    """
+
+    is_known: bool = False
+    revision: int = 0
+    owner: str = ""
+    boot: str = ""
+    heard_at: float = 0.0
+    heard_elsewhere_at: float = 0.0
+    storeless_since: float = 0.0
+    is_gone: bool = False
+
+
+def should_claim(view: View, name: str, boot: str, now: float) -> bool:
+    """Tells whether a daemon that reaches the store should claim ownership."""
+    if not view.is_known:
+        return False
+    if view.revision == 0 or view.is_gone:
+        return True
+    if view.owner == name:
+        return view.boot != boot
+    if view.storeless_since and now - view.storeless_since > OWNER_STORELESS_S:
+        return True
+    heard = max(view.heard_at, view.heard_elsewhere_at)
+    return now - heard > OWNER_SILENCE_S
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/holding.py
@@ -0,0 +1,303 @@
+"""Holds of workers: leases, what runs there, what has ended."""
+
+from mimosaridge_core.jobs import dispatch
+from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import resigning
+from mimosaridge_core.jobs import runs
+from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import tunables
+
+
+@dispatch.handles(events.WorkersListed)
+def list_workers(
+    st: state.State, event: events.WorkersListed, out: list
+) -> None:
+    """Takes the whole list of workers."""
+    for worker_id in set(st.entries) - set(event.workers):
+        _change(st, worker_id, None, out)
+    for worker_id, entry in event.workers.items():
+        _change(st, worker_id, entry, out)
+
+
+@dispatch.handles(events.WorkerChanged)
+def change_worker(
+    st: state.State, event: events.WorkerChanged, out: list
+) -> None:
+    """Takes one worker's entry."""
+    _change(st, event.worker_id, event.entry, out)
+
+
+def _change(
+    st: state.State,
+    worker_id: str,
+    entry: model.WorkerEntry | None,
+    out: list,
+) -> None:
+    old = st.entries.get(worker_id)
+    if old == entry:
+        return
+    if entry is None:
+        del st.entries[worker_id]
+    else:
+        st.entries[worker_id] = entry
+    out.append(
+        effects.Decision(
+            "worker",
+            "",
+            "",
+            {
+                "worker": worker_id,
+                "listed": entry is not None,
+                "draining": bool(entry and entry.draining),
+                "backend": entry.backend if entry else old.backend,
+            },
+        )
+    )
+    if st.owner is not None:
+        follow(st, st.owner, worker_id, out)
+
+
+def follow(
+    st: state.State, owner: state.Owner, worker_id: str, out: list
+) -> None:
+    """Brings what the owner knows of a worker in line with its entry."""
+    entry = st.entries.get(worker_id)
+    worker = owner.workers.get(worker_id)
+    if entry is None:
+        if worker is not None:
+            worker.listed = False
+        return
+    if worker is None:
+        worker = state.Worker(entry)
+        owner.workers[worker_id] = worker
+    elif (entry.born, entry.address) != (
+        worker.entry.born,
+        worker.entry.address,
+    ):
+        end_life(st, owner, worker, out)
+    worker.entry = entry
+    worker.listed = True
+    if not worker.hold_open:
+        send_hold(st, owner, worker, out)
+
+
+def end_life(
+    st: state.State, owner: state.Owner, worker: state.Worker, out: list
+) -> None:
+    """All that ran in a worker's former life is gone."""
+    for run in list(worker.runs.values()):
+        runs.vanish(st, owner, worker, run, out)
+    worker.held = False
+    worker.processed = 0
+    worker.noted = 0
+    worker.clock_at = 0.0
+    worker.lease_until_ms = 0
+    worker.lease_ends_at = 0.0
+    worker.failures = 0
+    worker.rests_until = 0.0
+    worker.life += 1
+    owner.unheld.pop(worker.entry.worker_id, None)
+    for group in owner.groups.values():
+        group.tickets.pop(worker.entry.worker_id, None)
+        group.unfit.discard(worker.entry.worker_id)
+
+
+def send_hold(
+    st: state.State, owner: state.Owner, worker: state.Worker, out: list
+) -> None:
+    """Renews a worker's lease and looks at its runs.
+
+    A lease is not extended again before a hold was answered: an unreachable
+    worker's tasks end with the lease that was asked for last.
+    """
+    worker.hold_open = True
+    if worker.clock_at and not worker.unanswered:
+        ahead_ms = (st.now - worker.clock_at + tunables.LEASE_S) * 1000
+        worker.lease_until_ms = max(
+            worker.lease_until_ms, worker.clock_ms + int(ahead_ms)
+        )
+        left_s = (worker.lease_until_ms - worker.clock_ms) / 1000
+        worker.lease_ends_at = (
+            worker.clock_at
+            + left_s / (1 - tunables.CLOCK_SLOWNESS)
+            + tunables.LEASE_MARGIN_S
+        )
+    waits = (
+        worker.held
+        and worker.clock_at
+        and worker.processed <= worker.noted
+        and not worker.unanswered
+    )
+    out.append(
+        effects.Hold(
+            worker.entry.worker_id,
+            worker.entry.address,
+            owner.token,
+            worker.noted,
+            worker.lease_until_ms,
+            tunables.HOLD_WAIT_MS if waits else 0,
+            worker.life,
+        )
+    )
+
+
+@dispatch.handles(events.HoldAnswered)
+def take_hold(st: state.State, event: events.HoldAnswered, out: list) -> None:
+    """Takes a worker's answer to a hold."""
+    owner = st.owner
+    worker = owner.workers.get(event.worker_id) if owner else None
+    if worker is None or event.token != owner.token:
+        return
+    worker.hold_open = False
+    if event.life != worker.life:
+        send_hold(st, owner, worker, out)
+        return
+    if event.result == events.CallResult.FENCED:
+        resigning.resign(st, "a worker has taken a newer token", out)
+        return
+    if event.result == events.CallResult.OTHER_LIFE:
+        end_life(st, owner, worker, out)
+        worker.next_hold_at = st.now + tunables.HOLD_RETRY_S
+        return
+    if event.result != events.CallResult.DONE:
+        _miss(st, worker, event, out)
+        return
+    _answered(st, owner, worker, event, out)
+
+
+def _miss(
+    st: state.State,
+    worker: state.Worker,
+    event: events.HoldAnswered,
+    out: list,
+) -> None:
+    worker.next_hold_at = st.now + tunables.HOLD_RETRY_S
+    if not worker.unanswered:
+        out.append(
+            effects.Decision(
+                "worker-lost",
+                "",
+                "",
+                {
+                    "worker": event.worker_id,
+                    "result": event.result.value,
+                    "lease_left_s": round(worker.lease_ends_at - st.now, 2),
+                    "runs": len(worker.runs),
+                },
+            )
+        )
+    worker.unanswered = True
+
+
+def _answered(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    event: events.HoldAnswered,
+    out: list,
+) -> None:
+    if worker.held and event.born != worker.born:
+        end_life(st, owner, worker, out)
+    if not worker.held or worker.unanswered:
+        out.append(
+            effects.Decision(
+                "worker-held",
+                "",
+                "",
+                {
+                    "worker": event.worker_id,
+                    "running": len(event.running),
+                    "ended": len(event.ended),
+                    "token": owner.token,
+                },
+            )
+        )
+    worker.unanswered = False
+    worker.held = True
+    worker.born = event.born
+    worker.clock_ms = event.clock_ms
+    worker.clock_at = st.now
+    worker.answered_at = st.now
+    owner.unheld.pop(event.worker_id, None)
+    _take_running(st, owner, worker, event, out)
+    _take_ended(st, owner, worker, event, out)
+    _take_missing(st, owner, worker, event, out)
+    if worker.processed > worker.noted:
+        worker.next_hold_at = st.now + tunables.UNNOTED_LOOK_S
+    else:
+        send_hold(st, owner, worker, out)
+
+
+def _take_running(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    event: events.HoldAnswered,
+    out: list,
+) -> None:
+    for row in event.running:
+        run = worker.runs.get((row.task_id, row.run))
+        if run is None:
+            runs.adopt(st, owner, worker, row, out)
+            continue
+        if run.phase == state.Phase.STARTING:
+            run.phase = state.Phase.RUNNING
+            run.acknowledged_at = st.now
+        run.saved = row.saved
+        if row.percent != run.percent:
+            run.percent = row.percent
+            run.percent_at = st.now
+
+
+def _take_ended(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    event: events.HoldAnswered,
+    out: list,
+) -> None:
+    for row in event.ended:
+        if row.number > worker.processed:
+            worker.processed = row.number
+            runs.end(st, owner, worker, row, out)
+
+
+def _take_missing(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    event: events.HoldAnswered,
+    out: list,
+) -> None:
+    """Ends runs that the worker listed neither as running nor as ended."""
+    listed = {(row.task_id, row.run) for row in event.running}
+    for key, run in list(worker.runs.items()):
+        settled = 0 < run.acknowledged_at < event.sent_at
+        if settled and key not in listed:
+            runs.vanish(st, owner, worker, run, out)
+
+
+def check(st: state.State, owner: state.Owner, out: list) -> None:
+    """Makes holds that are due and ends leases that have run out."""
+    for worker_id, worker in list(owner.workers.items()):
+        is_over = 0 < worker.lease_ends_at < st.now
+        if is_over and worker.unanswered and (worker.runs or worker.held):
+            out.append(
+                effects.Decision(
+                    "lease-over",
+                    "",
+                    "",
+                    {"worker": worker_id, "runs": len(worker.runs)},
+                )
+            )
+            end_life(st, owner, worker, out)
+        if not worker.listed and not worker.runs and not worker.held:
+            del owner.workers[worker_id]
+            continue
+        if not worker.hold_open and st.now >= worker.next_hold_at:
+            send_hold(st, owner, worker, out)
+    for worker_id, until in list(owner.unheld.items()):
+        if st.now > until:
+            del owner.unheld[worker_id]
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/ownership.py
@@ -0,0 +1,42 @@
+"""What begins and ends with ownership."""
+
+from mimosaridge_core.jobs import dispatch
+from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import holding
+from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import tunables
+from mimosaridge_core.jobs import work
+
+# An earlier owner's orders have surely ended after this time.
+FORMER_LEASE_S = (
+    tunables.LEASE_S / (1 - tunables.CLOCK_SLOWNESS)
+    + tunables.LEASE_MARGIN_S
+    + tunables.DISPLACED_OWNER_S
+)
+
+
+@dispatch.handles(events.OwnershipClaimed)
+def claim(st: state.State, event: events.OwnershipClaimed, out: list) -> None:
+    """Begins to hold all workers and to place all unfinished jobs."""
+    owner = state.Owner(event.token, st.now)
+    st.owner = owner
+    until = st.now + FORMER_LEASE_S
+    owner.unheld = dict.fromkeys(event.known_workers, until)
+    out.append(
+        effects.Decision(
+            "owner",
+            "",
+            "",
+            {
+                "token": event.token,
+                "jobs": len(st.table),
+                "workers": len(st.entries),
+                "known_workers": len(event.known_workers),
+            },
+        )
+    )
+    for entry in list(st.table.values()):
+        work.add_job(st, owner, entry, out)
+    for worker_id in list(st.entries):
+        holding.follow(st, owner, worker_id, out)
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/reducer.py
@@ -0,0 +1,33 @@
+"""The single door: reduce(state, event) returns effects."""
+
+from mimosaridge_core.jobs import advising
+from mimosaridge_core.jobs import dispatch
+from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import holding
+from mimosaridge_core.jobs import ownership
+from mimosaridge_core.jobs import resigning
+from mimosaridge_core.jobs import starting
+from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import table
+from mimosaridge_core.jobs import ticking
+from mimosaridge_core.jobs import writing
+
+# Importing them registers their handlers; no handler may rely on the order.
+HANDLER_MODULES = (
+    advising,
+    holding,
+    ownership,
+    resigning,
+    starting,
+    table,
+    ticking,
+    writing,
+)
+
+
+def reduce(st: state.State, event: events.Tick) -> list:
+    """Applies one event to the state and returns the effects, in order."""
+    out: list = []
+    st.now = max(st.now, event.now)
+    dispatch.EVENTS[type(event)](st, event, out)
+    return out
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/stopping.py
@@ -0,0 +1,91 @@
+"""Stops: of cancelled jobs, of copies, of runs that no one wants."""
+
+from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import work
+
+
+def stop(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    run: state.Run,
+    why: str,
+    out: list,
+) -> None:
+    """Stops a run, unless that is under way."""
+    if run.phase in (state.Phase.STOPPING, state.Phase.IN_DOUBT):
+        return
+    in_flight = run.phase == state.Phase.STARTING
+    run.phase = state.Phase.IN_DOUBT if in_flight else state.Phase.STOPPING
+    run.why_stopped = why
+    run.acknowledged_at = 0.0
+    send(st, owner, worker, run, out)
+
+
+def send(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    run: state.Run,
+    out: list,
+) -> None:
+    """Sends a stop, again if need be."""
+    run.stop_sent_at = st.now
+    out.append(
+        effects.Stop(
+            worker.entry.worker_id,
+            worker.entry.address,
+            owner.token,
+            run.task_id,
+            run.run,
+        )
+    )
+
+
+def stop_run(
+    st: state.State, owner: state.Owner, run: state.Run, why: str, out: list
+) -> None:
+    """Stops a run on whichever worker it is."""
+    worker = owner.workers.get(run.worker_id)
+    if worker is not None and (run.task_id, run.run) in worker.runs:
+        stop(st, owner, worker, run, why, out)
+
+
+def stop_groups(
+    st: state.State, owner: state.Owner, keys: set[str], why: str, out: list
+) -> None:
+    """Stops all runs of some groups."""
+    for key in sorted(keys):
+        group = owner.groups.get(key)
+        if group is None:
+            continue
+        for runs in group.runs.values():
+            for run in runs:
+                stop_run(st, owner, run, why, out)
+
+
+def cancel_job(
+    st: state.State, owner: state.Owner, entry: state.Entry, out: list
+) -> None:
+    """Stops a cancelled job's runs and brings it to its final state."""
+    job_id = entry.job.job_id
+    if job_id not in owner.jobs:
+        return
+    stop_groups(st, owner, owner.jobs[job_id], "job is cancelled", out)
+    work.finish(st, owner, entry, model.JobState.CANCELLED, out)
+
+
+def forget_job(
+    st: state.State, owner: state.Owner, entry: state.Entry, out: list
+) -> None:
+    """Stops what a removed job may have running and forgets it."""
+    job_id = entry.job.job_id
+    keys = owner.jobs.pop(job_id, set())
+    stop_groups(st, owner, keys, "job was removed", out)
+    for key in keys:
+        owner.groups.pop(key, None)
+    owner.dirty.pop(job_id, None)
+    owner.finished.pop(job_id, None)
+    owner.beyond.discard(job_id)
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/ticking.py
@@ -0,0 +1,32 @@
+"""What time alone brings about."""
+
+from mimosaridge_core.jobs import dispatch
+from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import holding
+from mimosaridge_core.jobs import placing
+from mimosaridge_core.jobs import starting
+from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import work
+from mimosaridge_core.jobs import writing
+
+
+@dispatch.handles(events.Tick)
+def tick(st: state.State, event: events.Tick, out: list) -> None:
+    """Does all that is due."""
+    st.wall = event.wall
+    owner = st.owner
+    if owner is None:
+        return
+    _open_repetitions(st, owner, out)
+    holding.check(st, owner, out)
+    starting.check(st, owner, out)
+    placing.place_all(st, owner, out)
+    writing.check(st, owner, out)
+
+
+def _open_repetitions(st: state.State, owner: state.Owner, out: list) -> None:
+    """Opens repetitions of timed jobs that have come due."""
+    for job_id in owner.timed:
+        entry = st.table.get(job_id)
+        if entry is not None and job_id in owner.jobs:
+            work.open_groups(st, owner, entry, out)
--- a/packages/daemon/mimosaridge_daemon/clients.py
+++ b/packages/daemon/mimosaridge_daemon/clients.py
@@ -1,5 +1,6 @@
 """HTTP calls that carry JSON."""
 
+import dataclasses
 import json
 from typing import Any
 
@@ -11,6 +12,19 @@
 HEADERS = {"Content-Type": "application/json"}
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """Why a call has no answer.
+
+    Attributes:
+        reason: What happened.
+        is_sent: Whether the call may have taken effect.
+    """
+
+    reason: str
+    is_sent: bool
+
+
 class Client:
     """Calls one base address over a bounded pool of connections."""
 
@@ -33,22 +47,51 @@
         data = body
         if body is not None and not isinstance(body, bytes):
             data = json.dumps(body)
+        answer = self.exchange(method, path, data, {}, timeout_s)
+        if answer.is_err():
+            return result.Err(answer.err_value.reason)
+        status, content = answer.ok_value
+        if status >= 500 and status != NO_ROOM:
+            return result.Err(f"status {status}")
+        try:
+            return result.Ok((status, json.loads(content) if content else None))
+        except ValueError as error:
+            return result.Err(f"{type(error).__name__}: {error}")
+
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes | str | None,
+        headers: dict[str, str],
+        timeout_s: float,
+        connect_s: float = CONNECT_S,
+    ) -> result.Result[tuple[int, bytes], Failure]:
+        """Makes one call.
+
+        Returns:
+            The status and the body as it came, or why there is none.
+        """
         try:
             answer = self.pool.urlopen(
                 method,
                 self.path + path,
-                body=data,
-                headers=HEADERS,
+                body=body,
+                headers=HEADERS | headers,
                 retries=False,
-                timeout=urllib3.Timeout(connect=CONNECT_S, read=timeout_s),
+                timeout=urllib3.Timeout(connect=connect_s, read=timeout_s),
                 pool_timeout=timeout_s,
             )
-            content = json.loads(answer.data) if answer.data else None
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.EmptyPoolError,
+        ) as error:
+            return result.Err(Failure(type(error).__name__, is_sent=False))
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
-            return result.Err(f"{type(error).__name__}: {error}")
-        if answer.status >= 500 and answer.status != NO_ROOM:
-            return result.Err(f"status {answer.status}")
-        return result.Ok((answer.status, content))
+            reason = f"{type(error).__name__}: {error}"
+            return result.Err(Failure(reason, is_sent=True))
+        return result.Ok((answer.status, answer.data))
 
     def close(self) -> None:
         """Closes all idle connections."""
--- a/packages/daemon/mimosaridge_daemon/codec.py
+++ b/packages/daemon/mimosaridge_daemon/codec.py
@@ -22,6 +22,11 @@
     """Bytes that are not what they should be."""
 
 
+def register_messages(kinds: tuple[type, ...]) -> None:
+    """Adds message types that peers may send."""
+    MESSAGES.update({kind.__name__: kind for kind in kinds})
+
+
 @functools.cache
 def adapter(kind: type) -> pydantic.TypeAdapter:
     """Returns the validator of a type."""
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs jobs on the users' platform."""
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -0,0 +1,453 @@
+"""Feeds events to the job scheduler and carries out its effects."""
+
+from collections.abc import Callable
+import time
+from typing import Any
+import uuid
+
+import gevent
+from gevent import queue
+import logbook
+from mimosaridge_platform import advicecalls
+from mimosaridge_platform import calls
+from mimosaridge_platform import configurations
+from mimosaridge_platform import discovery
+from mimosaridge_platform import storecalls
+from mimosaridge_platform import surroundings
+
+from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import reducer
+from mimosaridge_core.jobs import state
+from mimosaridge_daemon import codec
+from mimosaridge_daemon.jobs import documents
+from mimosaridge_daemon.jobs import following
+from mimosaridge_daemon.jobs import messages
+from mimosaridge_daemon.jobs import owning
+from mimosaridge_daemon.jobs import peering
+from mimosaridge_daemon.jobs import recording
+from mimosaridge_daemon.jobs import storage
+from mimosaridge_daemon.jobs import telemetry
+from mimosaridge_daemon.jobs import workerlinks
+
+LOG = logbook.Logger("engine")
+# The owner decides this often at least; a start takes 3 ms.
+OWNER_TICK_S = 0.02
+IDLE_TICK_S = 0.2
+# Beats of the owner and of others: a few fit into the limits of silence.
+OWNER_BEAT_S = 0.25
+BEAT_S = 0.6
+# How long watches wait, milliseconds: a silent one is noticed soon after.
+OPERATORS_WAIT_MS = 1200
+OWN_WAIT_MS = 2000
+WORKERS_WAIT_MS = 1200
+# Pause after changes, so that a call brings several: the owner is told of
+# new jobs, and all are told of finished ones, by peers.
+OWN_PAUSE_S = 0.4
+WORKERS_PAUSE_S = 0.1
+# A daemon's own entry goes with a lease this long, renewed a few times.
+ENTRY_TTL_MS = 15_000
+ENTRY_RENEWAL_S = 5.0
+ENTRY_RETRY_S = 0.5
+# A daemon that reaches the store by no way for this long is not ready.
+STORELESS_S = 1.5
+
+
+class Engine:
+    """One daemon.
+
+    Attributes:
+        state: What the reducer knows.
+        has_jobs: Whether the table of jobs was read.
+        draining: Whether it has been told to end.
+    """
+
+    def __init__(self, around: surroundings.Surroundings, secret: str) -> None:
+        self.around = around
+        self.boot = uuid.uuid4().hex[:12]
+        self.url = f"ws://{around.ip}:{around.peer_port}"
+        self.inbox: queue.Queue = queue.Queue()
+        self.state = state.State(now=time.monotonic(), wall=time.time())
+        self.has_jobs = False
+        self.draining = False
+        self.store = storage.Store(around.store)
+        self.store_timeout_s = storage.TIMEOUT_S
+        self.links = workerlinks.Links(self.post)
+        self.peering = peering.Peering(
+            around.name,
+            f"{around.ip}:{around.peer_port}",
+            secret,
+            self.store,
+            around.advice,
+            self._take_message,
+            self._take_refused,
+        )
+        self.store.relay = self.peering.relay
+        self.owning = owning.Owning(
+            around.name, self.boot, self.store, self._claimed, self._lost
+        )
+        self.recorder = recording.Recorder(
+            self.store, self.post, self.owning.resign, self._stored
+        )
+        self.zones_out: frozenset[str] = frozenset()
+        self.known_workers: tuple[str, ...] = ()
+        self.askers: frozenset[str] = frozenset()
+        self.carriers: dict[type, Callable[[Any], None]] = {
+            effects.Hold: self.links.hold,
+            effects.Start: self.links.start,
+            effects.Stop: self.links.stop,
+            effects.AskAdvice: self._ask_advice,
+            effects.WriteProgress: self._write_progress,
+            effects.Resign: lambda effect: self.owning.resign(effect.reason),
+            effects.Decision: telemetry.write_decision,
+        }
+
+    def start(self) -> None:
+        """Starts the loop and all that feeds it."""
+        gevent.spawn(self._run)
+        gevent.spawn(self._tick)
+        gevent.spawn(self._beat)
+        gevent.spawn(self._register)
+        gevent.spawn(self.owning.run)
+        self.peering.links.start()
+        for follower in self._followers():
+            gevent.spawn(follower.run)
+
+    def _followers(self) -> list[following.Follower]:
+        return [
+            following.Follower(
+                self.store,
+                storecalls.OPERATORS,
+                OPERATORS_WAIT_MS,
+                0.0,
+                self._list_operators,
+                self._change_operators,
+            ),
+            following.Follower(
+                self.store,
+                documents.OWN,
+                OWN_WAIT_MS,
+                OWN_PAUSE_S,
+                self._list_own,
+                self._change_own,
+            ),
+            following.Follower(
+                self.store,
+                storecalls.WORKERS,
+                WORKERS_WAIT_MS,
+                WORKERS_PAUSE_S,
+                self._list_workers,
+                self._change_worker,
+            ),
+        ]
+
+    def post(self, event: Any) -> None:
+        """Queues an event."""
+        self.inbox.put(event)
+
+    def log(self, rule: str, **fields: Any) -> None:
+        """Logs a decision that the reducer did not make."""
+        telemetry.write_decision(effects.Decision(rule, "", "", fields))
+
+    def is_ready(self) -> bool:
+        """Tells whether callers should be sent here."""
+        return (
+            self.state.configuration is not None
+            and self.has_jobs
+            and not self.draining
+            and self.store.reaches_store(STORELESS_S + OPERATORS_WAIT_MS / 1000)
+        )
+
+    def announce(self, event: Any, message: Any) -> None:
+        """Tells this daemon and the owner of a change that was stored."""
+        self.post(event)
+        if not self.owning.token:
+            self.peering.send(self.owning.view.owner, message)
+
+    def leave(self) -> None:
+        """Gives ownership up, to let a peer take over at once."""
+        self.draining = True
+        self.owning.leaving = True
+        token = self.owning.token
+        if token:
+            self.owning.resign("this daemon leaves")
+            self.peering.broadcast(messages.Leaving(token))
+
+    def _run(self) -> None:
+        while True:
+            event = self.inbox.get()
+            try:
+                produced = reducer.reduce(self.state, event)
+            except Exception:
+                LOG.exception("{} failed", type(event).__name__)
+                continue
+            for effect in produced:
+                self._carry(effect)
+
+    def _carry(self, effect: Any) -> None:
+        try:
+            self.carriers[type(effect)](effect)
+        except Exception:
+            LOG.exception("{} failed", type(effect).__name__)
+
+    def _tick(self) -> None:
+        while True:
+            owns = bool(self.owning.token)
+            gevent.sleep(OWNER_TICK_S if owns else IDLE_TICK_S)
+            self.post(events.Tick(time.monotonic(), time.time()))
+            heard = self.peering.heard()
+            if heard != self.askers:
+                self.askers = heard
+                self.post(events.PeersChanged(time.monotonic(), heard))
+
+    def _beat(self) -> None:
+        while True:
+            self.peering.broadcast(
+                messages.Beat(
+                    self.around.name,
+                    self.boot,
+                    self.url,
+                    self.store.has_store,
+                    self.store.reaches_store(STORELESS_S),
+                    self.owning.token,
+                    self.owning.view.revision,
+                    self.owning.owner_age_s(),
+                )
+            )
+            gevent.sleep(OWNER_BEAT_S if self.owning.token else BEAT_S)
+
+    def _register(self) -> None:
+        """Keeps this daemon's entry in the store."""
+        lease = 0
+        while True:
+            if not lease:
+                lease = self._write_entry()
+            elif not self._renew_entry(lease):
+                lease = 0
+                continue
+            gevent.sleep(ENTRY_RENEWAL_S if lease else ENTRY_RETRY_S)
+
+    def _write_entry(self) -> int:
+        answer = self.store.call(storecalls.grant(ENTRY_TTL_MS))
+        if answer.is_err() or answer.ok_value[0] != 200:
+            return 0
+        lease = storecalls.decode_lease(answer.ok_value[1])
+        entry = documents.Daemon(self.around.name, self.boot, self.url)
+        key = documents.DAEMONS + self.around.name
+        request = storecalls.write(
+            {}, {key: documents.encode(entry)}, lease=lease
+        )
+        answer = self.store.call(request)
+        is_written = answer.is_ok() and answer.ok_value[0] == 200
+        return lease if is_written else 0
+
+    def _renew_entry(self, lease: int) -> bool:
+        answer = self.store.call(storecalls.keep(lease))
+        return answer.is_err() or answer.ok_value[0] != 404
+
+    def _claimed(self, token: int) -> None:
+        """Reads the table anew, then becomes the owner."""
+        telemetry.IS_OWNER.set(1)
+        gevent.spawn(self._begin_owning, token)
+
+    def _begin_owning(self, token: int) -> None:
+        answer = storage.read_all(self.store, documents.OWN)
+        if answer.is_err():
+            self.log("owner-unread", reason=answer.err_value, token=token)
+        else:
+            self._list_own(answer.ok_value.items)
+        if self.owning.token != token:
+            return
+        self.post(
+            events.OwnershipClaimed(
+                time.monotonic(), token, frozenset(self.known_workers)
+            )
+        )
+
+    def _lost(self, reason: str) -> None:
+        telemetry.IS_OWNER.set(0)
+        self.post(events.OwnershipLost(time.monotonic(), reason))
+
+    def _stored(self, progress: dict) -> None:
+        """Tells all daemons what the owner has stored."""
+        self.peering.broadcast(messages.StatesStored(progress))
+
+    def _write_progress(self, effect: effects.WriteProgress) -> None:
+        if self.state.owner is not None:
+            self.recorder.write(self.state.owner.token, effect)
+
+    def _ask_advice(self, effect: effects.AskAdvice) -> None:
+        gevent.spawn(self._make_advice_call, effect)
+
+    def _make_advice_call(self, effect: effects.AskAdvice) -> None:
+        request = advicecalls.ask(effect.group, effect.workers)
+        began = time.monotonic()
+        answer = self.peering.call_by(
+            effect.asker, peering.ADVICE, request, effect.timeout_s
+        )
+        now = time.monotonic()
+        telemetry.CALL_SECONDS.labels("advice").observe(now - began)
+        tickets, valid_s, answered = {}, 0.0, False
+        if answer.is_ok() and answer.ok_value[0] == 200:
+            try:
+                tickets, valid_s = advicecalls.decode(answer.ok_value[1])
+                answered = True
+            except calls.MalformedError as error:
+                LOG.error("{}", error)
+        self.post(
+            events.AdviceAnswered(
+                now,
+                effect.asker,
+                effect.group,
+                effect.workers,
+                tickets,
+                answered,
+                valid_s,
+            )
+        )
+
+    def _take_message(self, sender: str, message: Any) -> None:
+        now = time.monotonic()
+        if isinstance(message, messages.Beat):
+            self.peering.add(message.name, message.url)
+            self.owning.hear(message)
+        elif isinstance(message, messages.Leaving):
+            self.owning.hear_leaving(message.token)
+        elif isinstance(message, messages.JobStored):
+            self.post(events.JobAccepted(now, message.job, message.revision))
+        elif isinstance(message, messages.CancelStored):
+            self.post(events.JobCancelled(now, message.job_id))
+        elif isinstance(message, messages.StatesStored):
+            for job_id, (progress, revision) in message.progress.items():
+                self.post(
+                    events.ProgressStored(now, job_id, progress, revision)
+                )
+
+    def _take_refused(self, name: str) -> None:
+        self.owning.hear_refused(name)
+
+    def _list_operators(self, items: tuple[storecalls.Item, ...]) -> None:
+        zones = set()
+        for item in items:
+            zone = configurations.zone_out(item.key)
+            if zone:
+                zones.add(zone)
+            elif item.key == storecalls.CONFIGURATION_KEY:
+                self._configure(item)
+        self._set_zones_out(frozenset(zones))
+
+    def _change_operators(self, item: storecalls.Item) -> None:
+        zone = configurations.zone_out(item.key)
+        if zone and item.value is None:
+            self._set_zones_out(self.zones_out - {zone})
+        elif zone:
+            self._set_zones_out(self.zones_out | {zone})
+        elif item.key == storecalls.CONFIGURATION_KEY:
+            self._configure(item)
+
+    def _set_zones_out(self, zones: frozenset[str]) -> None:
+        self.zones_out = zones
+        self.post(events.ZonesOutChanged(time.monotonic(), zones))
+
+    def _configure(self, item: storecalls.Item) -> None:
+        if item.value is None:
+            return
+        try:
+            configuration = configurations.decode(item.value)
+        except calls.MalformedError as error:
+            LOG.error("{}", error)
+            return
+        self.post(events.ConfigurationChanged(time.monotonic(), configuration))
+
+    def _list_workers(self, items: tuple[storecalls.Item, ...]) -> None:
+        workers = {}
+        for item in items:
+            entry = self._decode_worker(item)
+            if entry is not None:
+                workers[entry.worker_id] = entry
+        self.post(events.WorkersListed(time.monotonic(), workers))
+
+    def _change_worker(self, item: storecalls.Item) -> None:
+        worker_id = discovery.worker_id(item.key)
+        entry = self._decode_worker(item)
+        self.post(events.WorkerChanged(time.monotonic(), worker_id, entry))
+
+    def _decode_worker(self, item: storecalls.Item) -> Any:
+        if item.value is None:
+            return None
+        try:
+            return discovery.decode(item.key, item.value)
+        except calls.MalformedError as error:
+            self.log("worker-unreadable", key=item.key, reason=str(error))
+            return None
+
+    def _list_own(self, items: tuple[storecalls.Item, ...]) -> None:
+        jobs, progress, cancelled = {}, {}, set()
+        owner = None
+        for item in items:
+            kind, name = _split(item.key)
+            try:
+                if kind == documents.JOBS:
+                    job = documents.decode_job(item.value)
+                    jobs[name] = (job, item.revision)
+                elif kind == documents.PROGRESS:
+                    made = documents.decode_progress(item.value)
+                    progress[name] = (made, item.revision)
+                elif kind == documents.CANCELS:
+                    cancelled.add(name)
+                elif item.key == documents.OWNER:
+                    owner = item
+                else:
+                    self._change_other(item, kind)
+            except codec.MalformedError as error:
+                LOG.error("{}", error, extra={"key": item.key})
+        self.owning.read(owner)
+        self.post(
+            events.JobsListed(time.monotonic(), jobs, progress, cancelled)
+        )
+        self.has_jobs = True
+
+    def _change_own(self, item: storecalls.Item) -> None:
+        now = time.monotonic()
+        kind, name = _split(item.key)
+        try:
+            if kind == documents.JOBS and item.value is None:
+                self.post(events.JobRemoved(now, name))
+            elif kind == documents.JOBS:
+                job = documents.decode_job(item.value)
+                self.post(events.JobAccepted(now, job, item.revision))
+            elif kind == documents.PROGRESS and item.value is not None:
+                made = documents.decode_progress(item.value)
+                self.post(events.ProgressStored(now, name, made, item.revision))
+            elif kind == documents.CANCELS and item.value is not None:
+                self.post(events.JobCancelled(now, name))
+            elif item.key == documents.OWNER:
+                self.owning.read(item)
+            else:
+                self._change_other(item, kind)
+        except codec.MalformedError as error:
+            LOG.error("{}", error, extra={"key": item.key})
+
+    def _change_other(self, item: storecalls.Item, kind: str) -> None:
+        if kind == documents.DAEMONS:
+            if item.value is None:
+                self.peering.remove(item.key.removeprefix(documents.DAEMONS))
+                return
+            entry = documents.decode(documents.Daemon, item.value)
+            self.peering.add(entry.name, entry.url)
+            if entry.name == self.owning.view.owner:
+                if entry.boot != self.owning.view.boot:
+                    self.owning.view.is_gone = True
+        elif item.key == documents.FLEET and item.value is not None:
+            fleet = documents.decode(documents.Fleet, item.value)
+            self.known_workers = fleet.workers
+
+
+def _split(key: str) -> tuple[str, str]:
+    """Returns the kind of an own item and its name."""
+    for kind in (documents.JOBS, documents.PROGRESS, documents.CANCELS):
+        if key.startswith(kind):
+            return kind, key.removeprefix(kind)
+    if key.startswith(documents.DAEMONS):
+        return documents.DAEMONS, key.removeprefix(documents.DAEMONS)
+    return "", key
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/jobs/following.py
@@ -0,0 +1,86 @@
+"""Follows prefixes of the store: a list, then watches."""
+
+from collections.abc import Callable
+
+import gevent
+import logbook
+from mimosaridge_platform import calls
+from mimosaridge_platform import storecalls
+
+from mimosaridge_daemon.jobs import storage
+
+LOG = logbook.Logger("following")
+# How much longer than its wait a watch may take before it counts as silent.
+GRACE_S = 0.7
+RETRY_S = 0.25
+
+
+class Follower:
+    """Follows one prefix.
+
+    Args:
+        store: The store.
+        prefix: The prefix.
+        wait_ms: How long a watch waits, milliseconds.
+        pause_s: Pause after each watch that brought changes, so that one call
+            brings several.
+        listed: Called with all items.
+        changed: Called with each change.
+    """
+
+    def __init__(
+        self,
+        store: storage.Store,
+        prefix: str,
+        wait_ms: int,
+        pause_s: float,
+        listed: Callable[[tuple[storecalls.Item, ...]], None],
+        changed: Callable[[storecalls.Item], None],
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.wait_ms = wait_ms
+        self.pause_s = pause_s
+        self.listed = listed
+        self.changed = changed
+        self.revision = -1
+
+    def run(self) -> None:
+        """Follows for ever."""
+        while True:
+            try:
+                worked = self._list() if self.revision < 0 else self._watch()
+            except calls.MalformedError as error:
+                LOG.error("{}", error, extra={"prefix": self.prefix})
+                worked = False
+                self.revision = -1
+            if not worked:
+                gevent.sleep(RETRY_S)
+
+    def _list(self) -> bool:
+        answer = storage.read_all(self.store, self.prefix)
+        if answer.is_err():
+            return False
+        self.listed(answer.ok_value.items)
+        self.revision = answer.ok_value.revision
+        return True
+
+    def _watch(self) -> bool:
+        request = storecalls.watch(self.prefix, self.revision, self.wait_ms)
+        answer = self.store.call(request, self.wait_ms / 1000 + GRACE_S)
+        if answer.is_err():
+            return False
+        status, body = answer.ok_value
+        if status == 410:
+            LOG.notice("history dropped", extra={"prefix": self.prefix})
+            self.revision = -1
+            return True
+        if status != 200:
+            return False
+        page = storecalls.decode_changes(body)
+        for item in page.items:
+            self.changed(item)
+        self.revision = max(self.revision, page.revision)
+        if page.items:
+            gevent.sleep(self.pause_s)
+        return True
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -0,0 +1,225 @@
+"""What callers are answered: submissions, states, cancellations."""
+
+import http
+import re
+import time
+
+import bottle
+import gevent
+from mimosaridge_platform import calls
+from mimosaridge_platform import storecalls
+from mimosaridge_platform import submissions
+
+from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import model
+from mimosaridge_daemon import codec
+from mimosaridge_daemon.jobs import documents
+from mimosaridge_daemon.jobs import engine as engines
+from mimosaridge_daemon.jobs import messages
+from mimosaridge_daemon.jobs import telemetry
+
+# A caller that names no deadline waits this long, milliseconds.
+DEFAULT_DEADLINE_MS = 3000
+# Time kept for the answer to reach the caller before its deadline, seconds.
+ANSWER_S = 0.3
+# When a refused caller should come back, seconds: outages last seconds.
+RETRY_AFTER_S = 1
+# Pause between attempts to store a job, seconds.
+ATTEMPT_PAUSE_S = 0.1
+JOB_ID = re.compile(submissions.JOB_ID)
+
+
+class Front:
+    """The application that callers speak to.
+
+    Attributes:
+        app: The WSGI application.
+    """
+
+    def __init__(self, engine: engines.Engine) -> None:
+        self.engine = engine
+        self.app = bottle.Bottle()
+        self.app.route(
+            "/<path:path>", ["GET", "POST", "DELETE", "PUT"], self._serve
+        )
+
+    def _serve(self, path: str) -> bytes:
+        began = time.monotonic()
+        body = self._answer("/" + path)
+        telemetry.CALL_SECONDS.labels("caller").observe(
+            time.monotonic() - began
+        )
+        telemetry.ANSWERS.labels(
+            bottle.request.method, bottle.response.status_code
+        ).inc()
+        bottle.response.content_type = calls.JSON
+        return body
+
+    def _answer(self, path: str) -> bytes:
+        configuration = self.engine.state.configuration
+        if configuration is None or not self.engine.has_jobs:
+            return self._refuse("no configuration or no list of jobs yet")
+        host = bottle.request.get_header("Host", "").partition(":")[0]
+        queue = configuration.queue_of(host, path)
+        if queue is None:
+            return self._status(http.HTTPStatus.NOT_FOUND)
+        secret = bottle.request.get_header(calls.KEY_HEADER, "")
+        team = configuration.team_of_secret.get(secret, "")
+        if not team and not queue.public:
+            return self._status(http.HTTPStatus.UNAUTHORIZED)
+        name = path.removeprefix(queue.prefix)
+        method = bottle.request.method
+        if not name and method == "GET":
+            return self._pending(queue)
+        if not JOB_ID.match(name):
+            return self._status(http.HTTPStatus.NOT_FOUND)
+        if method == "POST":
+            return self._submit(queue, team, name, configuration.largest_body)
+        if method == "GET":
+            return self._state(name)
+        if method == "DELETE":
+            return self._cancel(name)
+        return self._status(http.HTTPStatus.METHOD_NOT_ALLOWED)
+
+    def _status(self, status: http.HTTPStatus) -> bytes:
+        bottle.response.status = int(status)
+        return b""
+
+    def _refuse(self, reason: str) -> bytes:
+        """Says that the request was not carried out and never will be."""
+        bottle.response.set_header("Retry-After", str(RETRY_AFTER_S))
+        self.engine.log("refused", reason=reason, path=bottle.request.path)
+        return self._status(http.HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _in_doubt(self, job_id: str, reason: str) -> bytes:
+        self.engine.log("in-doubt", job=job_id, reason=reason)
+        return self._status(http.HTTPStatus.GATEWAY_TIMEOUT)
+
+    def _deadline(self) -> float:
+        """Returns when the caller must have its answer, steady seconds."""
+        text = bottle.request.get_header(calls.DEADLINE_HEADER, "")
+        wait_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+        return time.monotonic() + wait_ms / 1000 - ANSWER_S
+
+    def _pending(self, queue: model.Queue) -> bytes:
+        count = sum(
+            entry.job.queue == queue.name
+            and entry.state == model.JobState.QUEUED
+            for entry in self.engine.state.table.values()
+        )
+        return submissions.encode_pending(count)
+
+    def _submit(
+        self, queue: model.Queue, team: str, job_id: str, largest: int
+    ) -> bytes:
+        if job_id in self.engine.state.table:
+            return b""
+        if largest and bottle.request.content_length > largest:
+            return self._status(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        body = bottle.request.body.read()
+        try:
+            job = submissions.decode(job_id, queue, team, body, time.time())
+        except calls.MalformedError as error:
+            self.engine.log("malformed", job=job_id, reason=str(error))
+            return self._status(http.HTTPStatus.BAD_REQUEST)
+        key = documents.JOBS + job_id
+        request = storecalls.write({key: 0}, {key: documents.encode(job)})
+        outcome, revision = self._write(request)
+        if outcome == storecalls.WriteResult.WRITTEN:
+            self.engine.log("accepted", job=job_id, queue=queue.name, team=team)
+            self.engine.announce(
+                events.JobAccepted(time.monotonic(), job, revision),
+                messages.JobStored(job, revision),
+            )
+            return b""
+        if outcome == storecalls.WriteResult.CONFLICT:
+            self.engine.log("accepted-again", job=job_id, queue=queue.name)
+            return b""
+        if outcome == storecalls.WriteResult.NOT_DONE:
+            return self._refuse("the store does nothing")
+        return self._in_doubt(job_id, "no answer of the store")
+
+    def _write(
+        self, request: calls.Request
+    ) -> tuple[storecalls.WriteResult | None, int]:
+        """Writes until it is known whether it was done, or time is up.
+
+        Returns:
+            The result, None if in doubt; and the revision.
+        """
+        deadline = self._deadline()
+        in_doubt = False
+        while True:
+            left = deadline - time.monotonic()
+            answer = self.engine.store.call(
+                request, min(left, self.engine.store_timeout_s)
+            )
+            if answer.is_ok():
+                written = storecalls.decode_written(*answer.ok_value)
+                if written.result != storecalls.WriteResult.NOT_DONE:
+                    return written.result, written.revision
+            elif answer.err_value.is_sent:
+                in_doubt = True
+            if not in_doubt:
+                return storecalls.WriteResult.NOT_DONE, 0
+            if time.monotonic() + ATTEMPT_PAUSE_S >= deadline:
+                return None, 0
+            gevent.sleep(ATTEMPT_PAUSE_S)
+
+    def _state(self, job_id: str) -> bytes:
+        entry = self.engine.state.table.get(job_id)
+        if entry is not None:
+            return submissions.encode_state(entry.state)
+        found = self._find(job_id)
+        if found is None:
+            return self._refuse("the store does not answer")
+        if not found:
+            return self._status(http.HTTPStatus.GONE)
+        entry = self.engine.state.table.get(job_id)
+        if entry is None:
+            return submissions.encode_state(model.JobState.QUEUED)
+        return submissions.encode_state(entry.state)
+
+    def _find(self, job_id: str) -> bool | None:
+        """Looks a job up in the store; None if there is no answer."""
+        key = documents.JOBS + job_id
+        answer = self.engine.store.call(storecalls.read(key))
+        if answer.is_err() or answer.ok_value[0] not in (200, 404):
+            return None
+        status, body = answer.ok_value
+        if status == 404:
+            return False
+        item = storecalls.decode_item(body)
+        try:
+            job = documents.decode_job(item.value)
+        except codec.MalformedError as error:
+            self.engine.log("unreadable", job=job_id, reason=str(error))
+            return None
+        self.engine.post(
+            events.JobAccepted(time.monotonic(), job, item.revision)
+        )
+        return True
+
+    def _cancel(self, job_id: str) -> bytes:
+        entry = self.engine.state.table.get(job_id)
+        if entry is None:
+            found = self._find(job_id)
+            if found is None:
+                return self._refuse("the store does not answer")
+            if not found:
+                return self._status(http.HTTPStatus.GONE)
+        elif entry.state in model.FINAL_STATES:
+            return b""
+        key = documents.CANCELS + job_id
+        request = storecalls.write({}, {key: b"{}"})
+        outcome, _ = self._write(request)
+        if outcome == storecalls.WriteResult.WRITTEN:
+            self.engine.log("cancelled", job=job_id)
+            self.engine.announce(
+                events.JobCancelled(time.monotonic(), job_id),
+                messages.CancelStored(job_id),
+            )
+            return b""
+        if outcome == storecalls.WriteResult.NOT_DONE:
+            return self._refuse("the store does nothing")
+        return self._in_doubt(job_id, "no answer of the store")
--- /dev/null
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -0,0 +1,195 @@
+"""Claims and gives up ownership of the jobs through the store."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import time
+
+import gevent
+import logbook
+from mimosaridge_platform import storecalls
+
+from mimosaridge_core.jobs import election
+from mimosaridge_daemon import codec
+from mimosaridge_daemon.jobs import documents
+from mimosaridge_daemon.jobs import messages
+from mimosaridge_daemon.jobs import storage
+
+LOG = logbook.Logger("owning")
+CHECK_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """The value of the key of ownership.
+
+    Attributes:
+        name: The owner's daemon.
+        boot: Id of its process.
+        number: Counts the claims of that process.
+    """
+
+    name: str
+    boot: str
+    number: int
+
+
+class Owning:
+    """Decides, with `election`, when to claim, and makes the claim.
+
+    Attributes:
+        view: What is known of the owner.
+        token: This daemon's token; 0 if it is not the owner.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        boot: str,
+        store: storage.Store,
+        claimed: Callable[[int], None],
+        lost: Callable[[str], None],
+    ) -> None:
+        self.name = name
+        self.boot = boot
+        self.store = store
+        self.claimed = claimed
+        self.lost = lost
+        self.view = election.View()
+        self.token = 0
+        self.number = 0
+        self.leaving = False
+        self.rng = random.Random()
+
+    def read(self, item: storecalls.Item | None) -> None:
+        """Takes the key of ownership as it was read; None if it is absent."""
+        if item is None or item.value is None:
+            revision = item.revision if item is not None else 0
+            if revision >= self.view.revision or not self.view.is_known:
+                self.view = election.View(
+                    is_known=True, heard_at=time.monotonic()
+                )
+                self._check_token(0)
+            return
+        if item.revision <= self.view.revision and self.view.is_known:
+            return
+        try:
+            claim = documents.decode(Claim, item.value)
+        except codec.MalformedError as error:
+            LOG.error("{}", error)
+            claim = Claim("", "", 0)
+        self.view = election.View(
+            is_known=True,
+            revision=item.revision,
+            owner=claim.name,
+            boot=claim.boot,
+            heard_at=time.monotonic(),
+        )
+        self._check_token(item.revision)
+
+    def _check_token(self, revision: int) -> None:
+        if self.token and revision != self.token:
+            self.resign("another daemon has claimed ownership")
+
+    def resign(self, reason: str) -> None:
+        """Is no longer the owner."""
+        if self.token:
+            self.token = 0
+            self.lost(reason)
+
+    def hear(self, beat: messages.Beat) -> None:
+        """Takes a daemon's beat."""
+        view, now = self.view, time.monotonic()
+        if beat.token and beat.token == view.revision:
+            view.heard_at = now
+            if beat.reaches_store:
+                view.storeless_since = 0.0
+            elif not view.storeless_since:
+                view.storeless_since = now
+        elif beat.owner_token == view.revision:
+            view.heard_elsewhere_at = max(
+                view.heard_elsewhere_at, now - beat.owner_age_s
+            )
+        if beat.name == view.owner and beat.boot != view.boot:
+            view.is_gone = True
+
+    def hear_leaving(self, token: int) -> None:
+        """The owner says that it leaves."""
+        if token == self.view.revision:
+            self.view.is_gone = True
+
+    def hear_refused(self, name: str) -> None:
+        """Nobody listens where the owner's process was."""
+        if name == self.view.owner:
+            self.view.is_gone = True
+
+    def owner_age_s(self) -> float:
+        """Returns how long ago the owner was heard, seconds."""
+        if self.token:
+            return 0.0
+        return time.monotonic() - self.view.heard_at
+
+    def run(self) -> None:
+        """Claims ownership whenever it should, for ever."""
+        while True:
+            gevent.sleep(CHECK_S)
+            if self.token or self.leaving:
+                continue
+            if not self._should_claim():
+                continue
+            gevent.sleep(self.rng.uniform(0.0, election.SPREAD_S))
+            if self._should_claim() and not self.leaving:
+                self._claim()
+
+    def _should_claim(self) -> bool:
+        return election.should_claim(
+            self.view, self.name, self.boot, time.monotonic()
+        )
+
+    def _claim(self) -> None:
+        """Swaps the key; its new revision is the token."""
+        self.number += 1
+        value = documents.encode(Claim(self.name, self.boot, self.number))
+        expected = {documents.OWNER: self.view.revision}
+        request = storecalls.write(expected, {documents.OWNER: value})
+        answer = self.store.call(request)
+        if answer.is_ok():
+            written = storecalls.decode_written(*answer.ok_value)
+            if written.result == storecalls.WriteResult.WRITTEN:
+                self._take(written.revision)
+                return
+            for item in written.items:
+                if item.key == documents.OWNER:
+                    self._settle(item, value)
+                    return
+        self._read_key(value)
+
+    def _read_key(self, value: bytes) -> None:
+        """Settles a claim without answer by reading the key."""
+        answer = self.store.call(storecalls.read(documents.OWNER))
+        if answer.is_err() or answer.ok_value[0] not in (200, 404):
+            return
+        status, body = answer.ok_value
+        if status == 200:
+            self._settle(storecalls.decode_item(body), value)
+        else:
+            self.read(storecalls.Item(documents.OWNER, None, 0))
+
+    def _settle(self, item: storecalls.Item, value: bytes) -> None:
+        if item.value == value:
+            self._take(item.revision)
+        elif item.value is None:
+            self.view = election.View(is_known=True, heard_at=time.monotonic())
+        else:
+            self.read(item)
+
+    def _take(self, revision: int) -> None:
+        self.view = election.View(
+            is_known=True,
+            revision=revision,
+            owner=self.name,
+            boot=self.boot,
+            heard_at=time.monotonic(),
+        )
+        self.token = revision
+        self.claimed(revision)
