--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -56,7 +56,7 @@
     """Takes the store's table, and acts on what an owner did not know."""
     for job_id in set(st.table) - set(event.jobs):
         _remove(st, job_id, out)
-    for job_id, (job, revision) in event.jobs.items():
+    for job, revision in event.jobs.values():
         _accept(st, job, revision, out)
     for job_id, (progress, revision) in event.progress.items():
         _store_progress(st, job_id, progress, revision)
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -435,9 +435,7 @@
                 return
             entry = documents.decode(documents.Daemon, item.value)
             self.peering.add(entry.name, entry.url)
-            if entry.name == self.owning.view.owner:
-                if entry.boot != self.owning.view.boot:
-                    self.owning.view.is_gone = True
+            self.owning.hear_boot(entry.name, entry.boot)
         elif item.key == documents.FLEET and item.value is not None:
             fleet = documents.decode(documents.Fleet, item.value)
             self.known_workers = fleet.workers
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -110,8 +110,12 @@
             view.heard_elsewhere_at = max(
                 view.heard_elsewhere_at, now - beat.owner_age_s
             )
-        if beat.name == view.owner and beat.boot != view.boot:
-            view.is_gone = True
+        self.hear_boot(beat.name, beat.boot)
+
+    def hear_boot(self, name: str, boot: str) -> None:
+        """Learns which process runs on a machine now."""
+        if name == self.view.owner and boot != self.view.boot:
+            self.view.is_gone = True
 
     def hear_leaving(self, token: int) -> None:
         """The owner says that it leaves."""
