--- a/packages/core/mimosaridge_core/jobs/effects.py
+++ b/packages/core/mimosaridge_core/jobs/effects.py
@@ -102,8 +102,9 @@
 
 @dataclasses.dataclass(slots=True)
 class Resign:
-    """Gives ownership up at once."""
+    """Gives the ownership of a token up at once."""
 
+    token: int
     reason: str
 
 
--- a/packages/core/mimosaridge_core/jobs/events.py
+++ b/packages/core/mimosaridge_core/jobs/events.py
@@ -114,9 +114,16 @@
 
 @dataclasses.dataclass(slots=True)
 class OwnershipLost:
-    """Another daemon is or may be the owner."""
+    """Another daemon is or may be the owner.
+
+    Attributes:
+        now: When.
+        token: The token that no longer counts; a newer one still does.
+        reason: Why.
+    """
 
     now: float
+    token: int
     reason: str
 
 
--- a/packages/core/mimosaridge_core/jobs/holding.py
+++ b/packages/core/mimosaridge_core/jobs/holding.py
@@ -283,7 +283,7 @@
     """Makes holds that are due and ends leases that have run out."""
     for worker_id, worker in list(owner.workers.items()):
         is_over = 0 < worker.lease_ends_at < st.now
-        if is_over and worker.unanswered and (worker.runs or worker.held):
+        if is_over and (worker.runs or worker.held):
             out.append(
                 effects.Decision(
                     "lease-over",
--- a/packages/core/mimosaridge_core/jobs/resigning.py
+++ b/packages/core/mimosaridge_core/jobs/resigning.py
@@ -9,19 +9,21 @@
 @dispatch.handles(events.OwnershipLost)
 def lose(st: state.State, event: events.OwnershipLost, out: list) -> None:
     """Stops all that only an owner does."""
-    if st.owner is not None:
-        out.append(
-            effects.Decision(
-                "owner-lost",
-                "",
-                "",
-                {"token": st.owner.token, "reason": event.reason},
-            )
+    if st.owner is None or st.owner.token > event.token:
+        return
+    out.append(
+        effects.Decision(
+            "owner-lost",
+            "",
+            "",
+            {"token": st.owner.token, "reason": event.reason},
         )
+    )
     st.owner = None
 
 
 def resign(st: state.State, reason: str, out: list) -> None:
     """Gives ownership up."""
-    lose(st, events.OwnershipLost(st.now, reason), out)
-    out.append(effects.Resign(reason))
+    token = st.owner.token
+    lose(st, events.OwnershipLost(st.now, token, reason), out)
+    out.append(effects.Resign(token, reason))
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -58,8 +58,8 @@
         _remove(st, job_id, out)
     for job, revision in event.jobs.values():
         _accept(st, job, revision, out)
-    for job_id, (progress, revision) in event.progress.items():
-        _store_progress(st, job_id, progress, revision)
+    for job_id in event.jobs:
+        _restore_progress(st, job_id, event)
     for job_id in event.cancelled:
         _cancel(st, job_id, out)
 
@@ -114,6 +114,17 @@
         stopping.forget_job(st, st.owner, entry, out)
 
 
+def _restore_progress(
+    st: state.State, job_id: str, event: events.JobsListed
+) -> None:
+    """Drops what a former owner knew but had not stored."""
+    progress, revision = event.progress.get(job_id, (model.Progress(), 0))
+    entry = st.table[job_id]
+    if st.owner is None and revision >= entry.progress_revision:
+        entry.progress = progress
+        entry.progress_revision = revision
+
+
 def _store_progress(
     st: state.State, job_id: str, progress: model.Progress, revision: int
 ) -> None:
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -8,12 +8,6 @@
 import gevent
 from gevent import queue
 import logbook
-from mimosaridge_platform import advicecalls
-from mimosaridge_platform import calls
-from mimosaridge_platform import configurations
-from mimosaridge_platform import discovery
-from mimosaridge_platform import storecalls
-from mimosaridge_platform import surroundings
 
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
@@ -29,6 +23,12 @@
 from mimosaridge_daemon.jobs import storage
 from mimosaridge_daemon.jobs import telemetry
 from mimosaridge_daemon.jobs import workerlinks
+from mimosaridge_platform import advicecalls
+from mimosaridge_platform import calls
+from mimosaridge_platform import configurations
+from mimosaridge_platform import discovery
+from mimosaridge_platform import storecalls
+from mimosaridge_platform import surroundings
 
 LOG = logbook.Logger("engine")
 # The owner decides this often at least; a start takes 3 ms.
@@ -98,7 +98,9 @@
             effects.Stop: self.links.stop,
             effects.AskAdvice: self._ask_advice,
             effects.WriteProgress: self._write_progress,
-            effects.Resign: lambda effect: self.owning.resign(effect.reason),
+            effects.Resign: lambda effect: self.owning.resign(
+                effect.token, effect.reason
+            ),
             effects.Decision: telemetry.write_decision,
         }
 
@@ -170,7 +172,7 @@
         self.owning.leaving = True
         token = self.owning.token
         if token:
-            self.owning.resign("this daemon leaves")
+            self.owning.resign(token, "this daemon leaves")
             self.peering.broadcast(messages.Leaving(token))
 
     def _run(self) -> None:
@@ -264,9 +266,9 @@
             )
         )
 
-    def _lost(self, reason: str) -> None:
+    def _lost(self, token: int, reason: str) -> None:
         telemetry.IS_OWNER.set(0)
-        self.post(events.OwnershipLost(time.monotonic(), reason))
+        self.post(events.OwnershipLost(time.monotonic(), token, reason))
 
     def _stored(self, progress: dict) -> None:
         """Tells all daemons what the owner has stored."""
--- a/packages/daemon/mimosaridge_daemon/jobs/following.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/following.py
@@ -4,10 +4,10 @@
 
 import gevent
 import logbook
-from mimosaridge_platform import calls
-from mimosaridge_platform import storecalls
 
 from mimosaridge_daemon.jobs import storage
+from mimosaridge_platform import calls
+from mimosaridge_platform import storecalls
 
 LOG = logbook.Logger("following")
 # How much longer than its wait a watch may take before it counts as silent.
--- a/packages/daemon/mimosaridge_daemon/jobs/front.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -6,9 +6,6 @@
 
 import bottle
 import gevent
-from mimosaridge_platform import calls
-from mimosaridge_platform import storecalls
-from mimosaridge_platform import submissions
 
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
@@ -17,6 +14,9 @@
 from mimosaridge_daemon.jobs import engine as engines
 from mimosaridge_daemon.jobs import messages
 from mimosaridge_daemon.jobs import telemetry
+from mimosaridge_platform import calls
+from mimosaridge_platform import storecalls
+from mimosaridge_platform import submissions
 
 # A caller that names no deadline waits this long, milliseconds.
 DEFAULT_DEADLINE_MS = 3000
--- a/packages/daemon/mimosaridge_daemon/jobs/main.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/main.py
@@ -8,13 +8,13 @@
 import gevent
 from gevent import event as gevent_event
 import logbook
-from mimosaridge_platform import surroundings
 
 from mimosaridge_daemon import collector
 from mimosaridge_daemon import serving
 from mimosaridge_daemon.jobs import engine as engines
 from mimosaridge_daemon.jobs import front
 from mimosaridge_daemon.jobs import telemetry
+from mimosaridge_platform import surroundings
 
 LOG = logbook.Logger("main")
 BAD_SETTINGS_EXIT = 2
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -7,13 +7,13 @@
 
 import gevent
 import logbook
-from mimosaridge_platform import storecalls
 
 from mimosaridge_core.jobs import election
 from mimosaridge_daemon import codec
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import messages
 from mimosaridge_daemon.jobs import storage
+from mimosaridge_platform import storecalls
 
 LOG = logbook.Logger("owning")
 CHECK_S = 0.1
@@ -48,7 +48,7 @@
         boot: str,
         store: storage.Store,
         claimed: Callable[[int], None],
-        lost: Callable[[str], None],
+        lost: Callable[[int, str], None],
     ) -> None:
         self.name = name
         self.boot = boot
@@ -89,13 +89,13 @@
 
     def _check_token(self, revision: int) -> None:
         if self.token and revision != self.token:
-            self.resign("another daemon has claimed ownership")
+            self.resign(self.token, "another daemon has claimed ownership")
 
-    def resign(self, reason: str) -> None:
-        """Is no longer the owner."""
-        if self.token:
+    def resign(self, token: int, reason: str) -> None:
+        """Is no longer the owner by a token."""
+        if self.token == token != 0:
             self.token = 0
-            self.lost(reason)
+            self.lost(token, reason)
 
     def hear(self, beat: messages.Beat) -> None:
         """Takes a daemon's beat."""
--- a/packages/daemon/mimosaridge_daemon/jobs/peering.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/peering.py
@@ -9,7 +9,6 @@
 
 import gevent
 from gevent import event as gevent_event
-from mimosaridge_platform import calls
 import result
 
 from mimosaridge_core import events as peer_events
@@ -18,6 +17,7 @@
 from mimosaridge_daemon import peers
 from mimosaridge_daemon.jobs import messages
 from mimosaridge_daemon.jobs import storage
+from mimosaridge_platform import calls
 
 # A daemon that was not heard for this long is asked for nothing.
 SILENCE_S = 2.0
--- a/packages/daemon/mimosaridge_daemon/jobs/recording.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/recording.py
@@ -6,12 +6,12 @@
 
 import gevent
 import logbook
-from mimosaridge_platform import storecalls
 
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import storage
+from mimosaridge_platform import storecalls
 
 LOG = logbook.Logger("recording")
 # A write without answer is made again this often before it counts as failed.
@@ -25,7 +25,7 @@
         self,
         store: storage.Store,
         post: Callable[[Any], None],
-        displaced: Callable[[str], None],
+        displaced: Callable[[int, str], None],
         stored: Callable[[dict], None],
     ) -> None:
         self.store = store
@@ -94,7 +94,10 @@
         now_there = {item.key: item for item in written.items}
         owner = now_there.get(documents.OWNER)
         if owner is not None and owner.revision != expected[documents.OWNER]:
-            self.displaced("another daemon has claimed ownership")
+            self.displaced(
+                expected[documents.OWNER],
+                "another daemon has claimed ownership",
+            )
             return
         revisions = {}
         for job_id in copies:
--- a/packages/daemon/mimosaridge_daemon/jobs/storage.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/storage.py
@@ -5,12 +5,12 @@
 
 import gevent
 import logbook
-from mimosaridge_platform import calls
-from mimosaridge_platform import storecalls
 import result
 
 from mimosaridge_daemon import clients
 from mimosaridge_daemon.jobs import telemetry
+from mimosaridge_platform import calls
+from mimosaridge_platform import storecalls
 
 LOG = logbook.Logger("store")
 CONNECTIONS = 12
--- a/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
@@ -6,13 +6,13 @@
 
 import gevent
 import logbook
-from mimosaridge_platform import calls
-from mimosaridge_platform import workercalls
 
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_daemon import clients
 from mimosaridge_daemon.jobs import telemetry
+from mimosaridge_platform import calls
+from mimosaridge_platform import workercalls
 
 LOG = logbook.Logger("workerlinks")
 # A worker's connections: one for holds and a few for starts at a time.
--- /dev/null
+++ b/tests/core/jobs/test_owner.py
@@ -0,0 +1,174 @@
+"""One owner: jobs from acceptance to their end, and what must never be."""
+
+import testtools
+
+from mimosaridge_core import resources
+from mimosaridge_core.jobs import model
+from mimosaridge_fakes import jobworlds
+
+CORE = resources.Resources(1000, 100, 0)
+
+
+def _world(**options):
+    world = jobworlds.World(**options)
+    world.claim(0)
+    world.run(0.2)
+    return world
+
+
+class OwnerTest(testtools.TestCase):
+    """Jobs of a calm day."""
+
+    def test_a_job_of_two_steps_is_completed(self):
+        world = _world()
+        world.submit(
+            "j1",
+            model.Step(6, CORE, 0.5),
+            model.Step(3, CORE, 0.5, after=(0,)),
+        )
+        world.run(4)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertEqual([], world.broken)
+        self.assertEqual(9, len(world.starts))
+
+    def test_what_does_not_fit_waits(self):
+        world = _world(workers=1)
+        world.submit("j1", model.Step(10, CORE, 0.5))
+        world.run(0.4)
+        self.assertEqual(4, len(world.starts))
+        world.run(6)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertEqual([], world.broken)
+
+    def test_a_gang_starts_whole_or_not_at_all(self):
+        world = _world(workers=1)
+        world.submit("j1", model.Step(2, CORE, 1.0))
+        world.run(0.2)
+        world.submit("j2", model.Step(4, CORE, 0.5, gang=True))
+        world.run(0.4)
+        self.assertEqual(2, len(world.starts))
+        world.run(5)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j2"))
+
+    def test_an_upper_limit_holds(self):
+        world = _world()
+        limit = resources.Resources(2000, 0, 0)
+        world.configure(world.configuration(version=2, upper_limit=limit))
+        world.submit("j1", model.Step(5, CORE, 1.0))
+        world.run(0.5)
+        self.assertEqual(2, len(world.starts))
+
+    def test_a_cancelled_jobs_runs_are_stopped(self):
+        world = _world()
+        world.submit("j1", model.Step(3, CORE, 50.0))
+        world.run(0.5)
+        world.cancel("j1")
+        world.run(2)
+        running = [run for w in world.workers.values() for run in w.running]
+        self.assertEqual([], running)
+        self.assertEqual(model.JobState.CANCELLED, world.state_of("j1"))
+
+    def test_too_many_failures_fail_the_job(self):
+        world = _world()
+        world.trouble.failing = 1.0
+        world.submit("j1", model.Step(1, CORE, 0.2))
+        world.run(30)
+        self.assertEqual(model.JobState.FAILED, world.state_of("j1"))
+        self.assertEqual(3, len(world.starts))
+
+    def test_standing_tasks_start_again(self):
+        world = _world()
+        world.submit("j1", model.Step(2, CORE, standing=True))
+        world.run(1)
+        world.crash_worker(world.starts[0].worker_id)
+        world.run(12)
+        self.assertEqual(3, len(world.starts))
+        self.assertEqual([], world.broken)
+
+
+class TroubleTest(testtools.TestCase):
+    """Workers and owners that fail."""
+
+    def test_an_unreachable_workers_tasks_wait_for_its_lease(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(1, CORE, 30.0))
+        world.run(0.5)
+        first = world.workers[world.starts[0].worker_id]
+        first.is_reachable = False
+        world.run(4)
+        self.assertEqual(1, len(world.starts))
+        world.run(8)
+        self.assertEqual(2, len(world.starts))
+        self.assertEqual([], world.broken)
+
+    def test_a_late_start_is_never_a_second_run(self):
+        world = _world()
+        world.trouble.late = 0.3
+        for number in range(10):
+            world.submit(f"j{number}", model.Step(2, CORE, 0.5))
+        world.run(30)
+        self.assertEqual([], world.broken)
+        world.trouble.late = 0.0
+        world.run(30)
+        states = {world.state_of(f"j{number}") for number in range(10)}
+        self.assertEqual({model.JobState.COMPLETED}, states)
+
+    def test_a_new_owner_adopts_what_runs(self):
+        world = _world()
+        world.submit("j1", model.Step(3, CORE, 3.0))
+        world.run(1)
+        world.frozen.add(0)
+        world.claim(1)
+        world.run(6)
+        self.assertEqual(3, len(world.starts))
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertEqual([], world.broken)
+
+    def test_an_end_that_is_not_stored_is_not_lost_with_the_owner(self):
+        world = _world()
+        world.trouble.is_store_down = True
+        world.submit("j1", model.Step(2, CORE, 0.5))
+        world.run(2)
+        world.trouble.is_store_down = False
+        world.frozen.add(0)
+        world.claim(1)
+        world.run(3)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertEqual([], world.broken)
+
+    def test_a_failure_counts_once_with_two_owners(self):
+        world = _world()
+        world.trouble.failing = 1.0
+        world.trouble.is_store_down = True
+        world.submit("j1", model.Step(1, CORE, 0.3))
+        world.run(0.6)
+        world.trouble.is_store_down = False
+        world.frozen.add(0)
+        world.claim(1)
+        world.run(30)
+        self.assertEqual(3, len(world.starts))
+
+    def test_a_new_owner_waits_for_a_worker_that_it_cannot_reach(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(1, CORE, 30.0))
+        world.run(1)
+        world.workers[world.starts[0].worker_id].is_reachable = False
+        world.frozen.add(0)
+        world.claim(1)
+        world.run(4)
+        self.assertEqual(1, len(world.starts))
+        world.run(9)
+        self.assertEqual(2, len(world.starts))
+        self.assertEqual([], world.broken)
+
+    def test_an_owner_that_returns_forgets_what_it_had_not_stored(self):
+        world = _world()
+        world.submit("j1", model.Step(1, CORE, 0.3))
+        world.run(0.2)
+        world.trouble.is_store_down = True
+        world.run(1)
+        world.claim(1)
+        world.claim(0)
+        world.trouble.is_store_down = False
+        world.run(4)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -8,7 +8,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 SOURCES = sorted(
     path
-    for folder in ("packages", "standins", "bench", "tests")
+    for folder in ("packages", "platform", "standins", "bench", "tests")
     for path in (ROOT / folder).rglob("*.py")
     if "build" not in path.parts
 )
