Hold back jobs that a displaced owner may have begun out of sight

Ruled out: late orders of the former owner (its starts carry their deadline). An owner also resigns when a peer's beat names a newer token.

--- a/packages/core/mimosaridge_core/jobs/placing.py
+++ b/packages/core/mimosaridge_core/jobs/placing.py
@@ -107,8 +107,8 @@
     entry = st.table[group.job_id]
     if not work.is_ready(entry, group.repetition, group.number):
         return
-    if owner.unheld and entry.revision < owner.token:
-        return  # It may run on a worker that was not yet held.
+    if _may_run_unseen(owner, entry):
+        return
     if group.step.gang and len(group.waiting) < _gang_size(group):
         return
     workers = [
@@ -137,6 +137,21 @@
         _keep_room(current, group, workers)
 
 
+def _may_run_unseen(owner: state.Owner, entry: state.Entry) -> bool:
+    """Tells whether a former owner may have begun a job out of sight.
+
+    That is so while a worker of the job's back end was not yet held, for jobs
+    that a former owner may have seen before it knew that it was displaced.
+    """
+    if entry.seen_at > owner.since + tunables.DISPLACED_OWNER_S:
+        return False
+    for worker_id in owner.unheld:
+        worker = owner.workers.get(worker_id)
+        if worker is None or worker.entry.backend == entry.job.backend:
+            return True
+    return False
+
+
 def _gang_size(group: state.Group) -> int:
     return group.step.tasks - len(group.progress.done)
 
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -163,6 +163,7 @@
         progress: Its progress.
         progress_revision: Revision of the progress; 0 if none is stored.
         cancelled: Whether a cancellation is stored.
+        seen_at: When this daemon first saw the job.
     """
 
     job: model.Job
@@ -170,6 +171,7 @@
     progress: model.Progress = dataclasses.field(default_factory=model.Progress)
     progress_revision: int = 0
     cancelled: bool = False
+    seen_at: float = 0.0
 
     @property
     def state(self) -> model.JobState:
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -93,7 +93,7 @@
 def _accept(st: state.State, job: model.Job, revision: int, out: list) -> None:
     if job.job_id in st.table:
         return
-    entry = state.Entry(job, revision)
+    entry = state.Entry(job, revision, seen_at=st.now)
     st.table[job.job_id] = entry
     if st.owner is not None:
         work.add_job(st, st.owner, entry, out)
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -100,6 +100,8 @@
     def hear(self, beat: messages.Beat) -> None:
         """Takes a daemon's beat."""
         view, now = self.view, time.monotonic()
+        if beat.owner_token > self.token:
+            self.resign(self.token, "a peer knows of a newer owner")
         if beat.token and beat.token == view.revision:
             view.heard_at = now
             if beat.reaches_store:
