--- a/packages/daemon/mimosaridge_daemon/jobs/peering.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/peering.py
@@ -72,8 +72,9 @@
         self.advice = clients.Client(f"http://{advice}", ADVICE_CONNECTIONS)
         self.links = peers.Peers(name, address, secret, self._receive)
         self.waiting: dict[int, gevent_event.AsyncResult] = {}
-        self.numbers = itertools.count(1)
         self.rng = random.Random()
+        # Answers meant for a former process of this machine match no call.
+        self.numbers = itertools.count(self.rng.getrandbits(48))
 
     def add(self, name: str, url: str) -> None:
         """Adds a daemon or changes its address."""
--- a/packages/daemon/mimosaridge_daemon/peers.py
+++ b/packages/daemon/mimosaridge_daemon/peers.py
@@ -136,10 +136,11 @@
         return None
 
     def _receive(self, link: connection.Connection) -> None:
-        for data in link:
-            try:
+        try:
+            for data in link:
                 sender, message = codec.decode_message(data)
-            except codec.MalformedError as error:
-                LOG.warning("{}", error)
-                return
-            self.post(events.PeerMessage(time.time(), sender, message))
+                self.post(events.PeerMessage(time.time(), sender, message))
+        except codec.MalformedError as error:
+            LOG.warning("{}", error)
+        except exceptions.ConnectionClosedError as error:
+            LOG.info("link closed without a farewell: {}", error)
