Show a job's end only once it is stored

Before: a test of the scheduler alone fails (shown as completed while the store is down). Conclusion: callers are told the stored state, nothing that may be lost.

--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -164,6 +164,7 @@
         progress_revision: Revision of the progress; 0 if none is stored.
         cancelled: Whether a cancellation is stored.
         seen_at: When this daemon first saw the job.
+        stored_state: The state as the store has it.
     """
 
     job: model.Job
@@ -172,15 +173,16 @@
     progress_revision: int = 0
     cancelled: bool = False
     seen_at: float = 0.0
+    stored_state: model.JobState = model.JobState.QUEUED
 
     @property
     def state(self) -> model.JobState:
-        """What a caller is told."""
-        if self.progress.state in model.FINAL_STATES:
-            return self.progress.state
+        """What a caller is told: never what could be lost with the owner."""
+        if self.stored_state in model.FINAL_STATES:
+            return self.stored_state
         if self.cancelled:
             return model.JobState.CANCELLED
-        return self.progress.state
+        return self.stored_state
 
 
 @dataclasses.dataclass(slots=True)
@@ -199,7 +201,8 @@
         runs: Number of the latest run.
         dirty: Jobs whose progress must be written, since when.
         batch: Number of the latest write.
-        writing: Items of the write under way; None if there is none.
+        writing: States that the write under way holds, by job; None if there
+            is none.
         noting: Ends that the write under way covers, by worker.
         write_after: No write before that time.
         finished: When jobs came to their final state.
@@ -224,7 +227,7 @@
     runs: int = 0
     dirty: dict[str, float] = dataclasses.field(default_factory=dict)
     batch: int = 0
-    writing: dict[str, int] | None = None
+    writing: dict[str, model.JobState] | None = None
     noting: dict[str, int] = dataclasses.field(default_factory=dict)
     write_after: float = 0.0
     finished: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -121,8 +121,7 @@
     progress, revision = event.progress.get(job_id, (model.Progress(), 0))
     entry = st.table[job_id]
     if st.owner is None and revision >= entry.progress_revision:
-        entry.progress = progress
-        entry.progress_revision = revision
+        _take(entry, progress, revision)
 
 
 def _store_progress(
@@ -133,5 +132,10 @@
     if entry is None or st.owner is not None:
         return
     if revision > entry.progress_revision:
-        entry.progress = progress
-        entry.progress_revision = revision
+        _take(entry, progress, revision)
+
+
+def _take(entry: state.Entry, progress: model.Progress, revision: int) -> None:
+    entry.progress = progress
+    entry.progress_revision = revision
+    entry.stored_state = progress.state
