--- a/packages/core/mimosaridge_core/jobs/writing.py
+++ b/packages/core/mimosaridge_core/jobs/writing.py
@@ -30,7 +30,9 @@
         _note(st, owner, noting, out)
         return
     owner.batch += 1
-    owner.writing = dict.fromkeys(jobs, 1)
+    owner.writing = {
+        job: st.table[job].progress.state for job in jobs if job in st.table
+    }
     owner.noting = noting
     owner.fleet_writing = fleet if fleet_changed else None
     items = {}
@@ -104,6 +106,9 @@
             work.mark_dirty(owner, job, st.now)
         owner.write_after = st.now + RETRY_S
         return
+    for job, stored in jobs.items():
+        if job in st.table:
+            st.table[job].stored_state = stored
     owner.write_after = st.now + tunables.WRITE_PAUSE_S
     if owner.fleet_writing is not None:
         owner.fleet = owner.fleet_writing
--- a/tests/core/jobs/test_owner.py
+++ b/tests/core/jobs/test_owner.py
@@ -172,3 +172,15 @@
         world.trouble.is_store_down = False
         world.run(4)
         self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+
+    def test_an_end_is_not_shown_before_it_is_stored(self):
+        world = _world()
+        world.trouble.is_store_down = True
+        world.submit("j1", model.Step(1, CORE, 0.3))
+        world.run(2)
+        shown = world.daemons[0].table["j1"].state
+        self.assertNotEqual(model.JobState.COMPLETED, shown)
+        world.trouble.is_store_down = False
+        world.run(1)
+        shown = world.daemons[0].table["j1"].state
+        self.assertEqual(model.JobState.COMPLETED, shown)
