Read before a write while the store is not known to answer

Only the first write of an outage need be in doubt. Ruled out: refusing without any call (the store's return would go unnoticed).

--- a/packages/daemon/mimosaridge_daemon/jobs/front.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -22,8 +22,9 @@
 DEFAULT_DEADLINE_MS = 3000
 # Time kept for the answer to reach the caller before its deadline, seconds.
 ANSWER_S = 0.3
-# When a refused caller should come back, seconds: outages last seconds.
-RETRY_AFTER_S = 1
+# When a refused caller should come back, seconds: outages last seconds, and
+# callers come back a few times.
+RETRY_AFTER_S = 2
 # Pause between attempts to store a job, seconds.
 ATTEMPT_PAUSE_S = 0.1
 JOB_ID = re.compile(submissions.JOB_ID)
@@ -149,6 +150,8 @@
         """
         deadline = self._deadline()
         in_doubt = False
+        if not self.engine.store.is_answering():
+            return storecalls.WriteResult.NOT_DONE, 0
         while True:
             left = deadline - time.monotonic()
             answer = self.engine.store.call(
--- a/packages/daemon/mimosaridge_daemon/jobs/storage.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/storage.py
@@ -22,6 +22,9 @@
 # Refusals without other effect: the machine is turned away or rates are used.
 TURNED_AWAY = storecalls.BUSY_STATUSES
 
+# Any read shows whether the store answers.
+PROBE = storecalls.read(storecalls.CONFIGURATION_KEY)
+
 Answer = result.Result[tuple[int, bytes], clients.Failure]
 Relay = Callable[[calls.Request, float], Answer | None]
 
@@ -92,6 +95,17 @@
             )
         return answer
 
+    def is_answering(self) -> bool:
+        """Tells whether a write may be tried; asks if the last call failed.
+
+        A write that fails leaves in doubt whether it was done. A read that
+        fails leaves nothing in doubt, so it goes first while the store is
+        not known to answer.
+        """
+        if self.has_store:
+            return True
+        return _is_served(self.call(PROBE))
+
     def reaches_store(self, within_s: float) -> bool:
         """Tells whether any call was answered lately."""
         return time.monotonic() - self.reached_at < within_s
