--- a/packages/core/mimosaridge_core/jobs/tunables.py
+++ b/packages/core/mimosaridge_core/jobs/tunables.py
@@ -20,7 +20,7 @@
 # Pause before a stop without answer is made again.
 STOP_RETRY_S = 0.3
 # Least time between writes of progress, to group ends into fewer writes.
-WRITE_PAUSE_S = 0.03
+WRITE_PAUSE_S = 0.08
 # A job's first start is stored within this time (pending may be 2 s old).
 BEGUN_WRITE_S = 0.3
 # Most jobs in one write: the store takes 32 entries and each needs two.
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -42,9 +42,10 @@
 OWN_WAIT_MS = 2000
 WORKERS_WAIT_MS = 1200
 # Pause after changes, so that a call brings several: the owner is told of
-# new jobs, and all are told of finished ones, by peers.
-OWN_PAUSE_S = 0.4
-WORKERS_PAUSE_S = 0.1
+# new jobs, and all are told of finished ones, by peers. Leaving workers must
+# be known within 2 s.
+OWN_PAUSE_S = 0.6
+WORKERS_PAUSE_S = 0.25
 # A daemon's own entry goes with a lease this long, renewed a few times.
 ENTRY_TTL_MS = 15_000
 ENTRY_RENEWAL_S = 5.0
@@ -140,6 +141,7 @@
                 WORKERS_PAUSE_S,
                 self._list_workers,
                 self._change_worker,
+                lambda: bool(self.owning.token),
             ),
         ]
 
@@ -258,6 +260,9 @@
             self.log("owner-unread", reason=answer.err_value, token=token)
         else:
             self._list_own(answer.ok_value.items)
+        workers = storage.read_all(self.store, storecalls.WORKERS)
+        if workers.is_ok():
+            self._list_workers(workers.ok_value.items)
         if self.owning.token != token:
             return
         self.post(
--- a/packages/daemon/mimosaridge_daemon/jobs/following.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/following.py
@@ -26,6 +26,7 @@
             brings several.
         listed: Called with all items.
         changed: Called with each change.
+        is_wanted: While it is False nothing is asked; then all is listed anew.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         pause_s: float,
         listed: Callable[[tuple[storecalls.Item, ...]], None],
         changed: Callable[[storecalls.Item], None],
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         self.store = store
         self.prefix = prefix
@@ -43,11 +45,16 @@
         self.pause_s = pause_s
         self.listed = listed
         self.changed = changed
+        self.is_wanted = is_wanted
         self.revision = -1
 
     def run(self) -> None:
         """Follows for ever."""
         while True:
+            if not self.is_wanted():
+                self.revision = -1
+                gevent.sleep(RETRY_S)
+                continue
             try:
                 worked = self._list() if self.revision < 0 else self._watch()
             except calls.MalformedError as error:
