--- a/packages/core/mimosaridge_core/jobs/holding.py
+++ b/packages/core/mimosaridge_core/jobs/holding.py
@@ -137,12 +137,18 @@
             owner.token,
             worker.noted,
             worker.lease_until_ms,
-            tunables.HOLD_WAIT_MS if waits else 0,
+            _wait_ms(st, owner) if waits else 0,
             worker.life,
         )
     )
 
 
+def _wait_ms(st: state.State, owner: state.Owner) -> int:
+    if st.now < owner.lossy_until:
+        return tunables.LOSSY_WAIT_MS
+    return tunables.HOLD_WAIT_MS
+
+
 @dispatch.handles(events.HoldAnswered)
 def take_hold(st: state.State, event: events.HoldAnswered, out: list) -> None:
     """Takes a worker's answer to a hold."""
@@ -162,19 +168,24 @@
         worker.next_hold_at = st.now + tunables.HOLD_RETRY_S
         return
     if event.result != events.CallResult.DONE:
-        _miss(st, worker, event, out)
+        _miss(st, owner, worker, event, out)
         return
     _answered(st, owner, worker, event, out)
 
 
 def _miss(
     st: state.State,
+    owner: state.Owner,
     worker: state.Worker,
     event: events.HoldAnswered,
     out: list,
 ) -> None:
-    worker.next_hold_at = st.now + tunables.HOLD_RETRY_S
-    if not worker.unanswered:
+    worker.next_hold_at = st.now
+    if event.result == events.CallResult.UNKNOWN:
+        owner.lossy_until = st.now + tunables.LOSSY_S
+    if worker.unanswered:
+        worker.next_hold_at = st.now + tunables.HOLD_RETRY_S
+    else:
         out.append(
             effects.Decision(
                 "worker-lost",
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -208,6 +208,7 @@
         write_after: No write before that time.
         finished: When jobs came to their final state.
         advice_busy: Daemons whose call for advice is under way, until when.
+        lossy_until: Until when answers of workers count as getting lost.
         fleet: Ids of workers as stored; None if not yet stored.
         fleet_writing: The same, in the write under way.
         rate: Jobs that a team may still submit within its weight.
@@ -234,6 +235,7 @@
     write_after: float = 0.0
     finished: dict[str, float] = dataclasses.field(default_factory=dict)
     advice_busy: dict[str, float] = dataclasses.field(default_factory=dict)
+    lossy_until: float = 0.0
     fleet: tuple[str, ...] | None = None
     fleet_writing: tuple[str, ...] | None = None
     rate: dict[str, tuple[float, float]] = dataclasses.field(
--- a/packages/core/mimosaridge_core/jobs/tunables.py
+++ b/packages/core/mimosaridge_core/jobs/tunables.py
@@ -11,6 +11,10 @@
 DISPLACED_OWNER_S = 2.0
 # A hold waits this long for an end; three holds fit into a lease.
 HOLD_WAIT_MS = 1200
+# While answers get lost, holds wait shorter: a lost one hides ends until then.
+LOSSY_WAIT_MS = 300
+# Answers count as getting lost for this long after a hold had none.
+LOSSY_S = 4.0
 # Pause before a failed hold is made again; a few attempts fit into a lease.
 HOLD_RETRY_S = 0.3
 # Pause between looks while ends wait to be stored: the store answers in 10 ms.
--- a/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
@@ -18,8 +18,8 @@
 # A worker's connections: one for holds and a few for starts at a time.
 CONNECTIONS = 8
 CONNECT_S = 0.5
-# Workers answer in 3 ms.
-ORDER_TIMEOUT_S = 0.8
+# Workers answer in 3 ms; an answer that takes this long is lost.
+ORDER_TIMEOUT_S = 0.4
 
 
 class Links:
