--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -246,7 +246,11 @@
         answer = self.store.call(storecalls.grant(ENTRY_TTL_MS))
         if answer.is_err() or answer.ok_value[0] != 200:
             return 0
-        lease = storecalls.decode_lease(answer.ok_value[1])
+        try:
+            lease = storecalls.decode_lease(answer.ok_value[1])
+        except calls.MalformedError as error:
+            LOG.error("{}", error)
+            return 0
         entry = documents.Daemon(self.around.name, self.boot, self.url)
         key = documents.DAEMONS + self.around.name
         request = storecalls.write(
--- a/packages/daemon/mimosaridge_daemon/jobs/front.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -159,7 +159,9 @@
             )
             if answer.is_ok():
                 written = storecalls.decode_written(*answer.ok_value)
-                if written.result != storecalls.WriteResult.NOT_DONE:
+                if written.result == storecalls.WriteResult.UNKNOWN:
+                    in_doubt = True
+                elif written.result != storecalls.WriteResult.NOT_DONE:
                     return written.result, written.revision
             elif answer.err_value.is_sent:
                 in_doubt = True
@@ -192,10 +194,10 @@
         status, body = answer.ok_value
         if status == 404:
             return False
-        item = storecalls.decode_item(body)
         try:
+            item = storecalls.decode_item(body)
             job = documents.decode_job(item.value)
-        except codec.MalformedError as error:
+        except (calls.MalformedError, codec.MalformedError) as error:
             self.engine.log("unreadable", job=job_id, reason=str(error))
             return None
         self.engine.post(
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -13,6 +13,7 @@
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import messages
 from mimosaridge_daemon.jobs import storage
+from mimosaridge_platform import calls
 from mimosaridge_platform import storecalls
 
 LOG = logbook.Logger("owning")
@@ -146,7 +147,14 @@
                 continue
             gevent.sleep(self.rng.uniform(0.0, election.SPREAD_S))
             if self._should_claim() and not self.leaving:
-                self._claim()
+                self.try_to_claim()
+
+    def try_to_claim(self) -> None:
+        """Makes a claim; one whose answer can't be read is made again."""
+        try:
+            self._claim()
+        except calls.MalformedError as error:
+            LOG.error("the claim is not settled: {}", error)
 
     def _should_claim(self) -> bool:
         return election.should_claim(
--- a/packages/daemon/mimosaridge_daemon/jobs/storage.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/storage.py
@@ -141,7 +141,10 @@
         status, body = answer.ok_value
         if status != 200:
             return result.Err(f"status {status}")
-        page = storecalls.decode_page(body)
+        try:
+            page = storecalls.decode_page(body)
+        except calls.MalformedError as error:
+            return result.Err(str(error))
         # Pages are no snapshot: changes since the first are watched again.
         revision = revision or page.revision
         items.extend(page.items)
--- /dev/null
+++ b/tests/daemon/jobs/test_recording.py
@@ -0,0 +1,93 @@
+"""Writes of progress: made once, settled when their answer was lost."""
+
+import base64
+import json
+
+import gevent
+import result
+import testtools
+
+from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import model
+from mimosaridge_daemon import clients
+from mimosaridge_daemon.jobs import documents
+from mimosaridge_daemon.jobs import recording
+
+LOST = result.Err(clients.Failure("no answer", is_sent=True))
+TOKEN = 7
+
+
+class FakeStore:
+    """Answers calls from a list."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    def call(self, request):
+        return self.answers.pop(0)
+
+
+def _write(*answers):
+    posted, displaced, stored = [], [], []
+    recorder = recording.Recorder(
+        FakeStore(*answers),
+        posted.append,
+        lambda token, reason: displaced.append(token),
+        stored.append,
+    )
+    progress = model.Progress(model.JobState.COMPLETED)
+    effect = effects.WriteProgress(1, {"j1": (progress, 4)})
+    recorder.write(TOKEN, effect)
+    gevent.sleep(0.01)
+    return posted, displaced, stored
+
+
+def _conflict(owner, revision, value):
+    items = [
+        {"key": documents.OWNER, "revision": owner, "value": ""},
+        {
+            "key": documents.PROGRESS + "j1",
+            "revision": revision,
+            "value": base64.b64encode(value).decode(),
+        },
+    ]
+    return result.Ok((412, json.dumps({"items": items}).encode()))
+
+
+SAME = documents.encode(model.Progress(model.JobState.COMPLETED))
+
+
+class RecordingTest(testtools.TestCase):
+    """The four ways a write can end."""
+
+    def test_a_write_is_reported_with_its_revision(self):
+        posted, _, stored = _write(result.Ok((200, b'{"revision":9}')))
+        self.assertTrue(posted[0].written)
+        self.assertEqual({"j1": 9}, posted[0].revisions)
+        self.assertEqual(9, stored[0]["j1"][1])
+
+    def test_a_lost_write_that_was_made_counts_as_made(self):
+        posted, _, _ = _write(LOST, _conflict(TOKEN, 9, SAME))
+        self.assertTrue(posted[0].written)
+        self.assertEqual({"j1": 9}, posted[0].revisions)
+
+    def test_other_progress_is_written_again_over_its_revision(self):
+        other = documents.encode(model.Progress(model.JobState.RUNNING))
+        posted, _, stored = _write(_conflict(TOKEN, 6, other))
+        self.assertFalse(posted[0].written)
+        self.assertEqual({"j1": 6}, posted[0].revisions)
+        self.assertEqual([], stored)
+
+    def test_a_newer_owner_displaces(self):
+        posted, displaced, _ = _write(_conflict(TOKEN + 1, 4, SAME))
+        self.assertEqual([], posted)
+        self.assertEqual([TOKEN], displaced)
+
+    def test_without_any_answer_it_is_not_written(self):
+        posted, _, _ = _write(LOST, LOST)
+        self.assertFalse(posted[0].written)
+
+    def test_an_unreadable_answer_is_not_written(self):
+        broken = result.Ok((500, b"oops"))
+        posted, _, _ = _write(broken, broken)
+        self.assertFalse(posted[0].written)
