Move tasks away from workers that stand still or crawl

Cause: tasks on a hanging worker waited until it went on (6 s); nothing told a hanging worker from a busy one. Ruled out: the processor time as a sign.

--- a/packages/core/mimosaridge_core/jobs/holding.py
+++ b/packages/core/mimosaridge_core/jobs/holding.py
@@ -6,6 +6,7 @@
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import resigning
 from mimosaridge_core.jobs import runs
+from mimosaridge_core.jobs import stalls
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import tunables
 
@@ -97,6 +98,7 @@
     worker.lease_ends_at = 0.0
     worker.failures = 0
     worker.rests_until = 0.0
+    worker.speed = 1.0
     worker.life += 1
     owner.unheld.pop(worker.entry.worker_id, None)
     for group in owner.groups.values():
@@ -232,9 +234,11 @@
     worker.clock_at = st.now
     worker.answered_at = st.now
     owner.unheld.pop(event.worker_id, None)
+    stalls.look(st, owner, worker, event.running, bool(event.ended))
     _take_running(st, owner, worker, event, out)
     _take_ended(st, owner, worker, event, out)
     _take_missing(st, owner, worker, event, out)
+    stalls.act(st, owner, worker, out)
     if worker.processed > worker.noted:
         worker.next_hold_at = st.now + tunables.UNNOTED_LOOK_S
     else:
@@ -257,9 +261,7 @@
             run.phase = state.Phase.RUNNING
             run.acknowledged_at = st.now
         run.saved = row.saved
-        if row.percent != run.percent:
-            run.percent = row.percent
-            run.percent_at = st.now
+        run.percent = row.percent
 
 
 def _take_ended(
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -75,6 +75,9 @@
         failures: Failures in a row.
         unanswered: Whether its latest hold had no answer.
         life: Counts its lives as the owner saw them.
+        looked_at: When its runs were listed last.
+        moved_at: When any of its runs last showed progress.
+        speed: Its measured speed; 1.0 is as declared.
     """
 
     entry: model.WorkerEntry
@@ -96,6 +99,9 @@
     failures: int = 0
     unanswered: bool = False
     life: int = 0
+    looked_at: float = 0.0
+    moved_at: float = 0.0
+    speed: float = 1.0
 
     @property
     def rack(self) -> str:
--- a/standins/mimosaridge_fakes/jobworkers.py
+++ b/standins/mimosaridge_fakes/jobworkers.py
@@ -19,6 +19,12 @@
     ends_at: float
     how: str
     needs: resources.Resources
+    lasts_s: float = 1.0
+
+    def percent(self, now: float) -> int:
+        """Returns how far it has come, in hundredths."""
+        left = max(0.0, self.ends_at - now) / self.lasts_s
+        return max(0, int(100 * (1 - left)))
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,6 +38,8 @@
         token: Highest token that it has seen.
         lease_until: End of its lease.
         running: Runs by task and number.
+        is_hanging: Whether all runs stand still.
+        advanced_at: When time last passed for it.
         ended: Ends not yet taken note of.
         closed: Highest run stopped or ended, by task.
     """
@@ -47,6 +55,8 @@
     ended: list[model.EndRow] = dataclasses.field(default_factory=list)
     closed: dict[str, int] = dataclasses.field(default_factory=dict)
     ends: int = 0
+    is_hanging: bool = False
+    advanced_at: float = 0.0
 
     def used(self) -> resources.Resources:
         """Returns what its runs use."""
@@ -54,6 +64,11 @@
 
     def advance(self, now: float) -> None:
         """Ends what has come to its end, or all if the lease is over."""
+        if self.is_hanging:
+            for run in self.running.values():
+                if run.how != model.End.STOPPED:
+                    run.ends_at += now - self.advanced_at
+        self.advanced_at = now
         if now >= self.lease_until:
             for run in list(self.running.values()):
                 self._end(run, model.End.LAPSED)
@@ -80,7 +95,7 @@
         self.lease_until = max(self.lease_until, until)
         self.ended = [row for row in self.ended if row.number > order.noted]
         running = tuple(
-            model.RunRow(run.task_id, run.run, "", 100.0)
+            model.RunRow(run.task_id, run.run, "", run.percent(now))
             for run in self.running.values()
         )
         return events.CallResult.DONE, running, tuple(self.ended)
--- a/standins/mimosaridge_fakes/jobworlds.py
+++ b/standins/mimosaridge_fakes/jobworlds.py
@@ -340,7 +340,12 @@
             order,
             self.now,
             jobworkers.Running(
-                order.task_id, order.run, self.now + lasts, how, step.needs
+                order.task_id,
+                order.run,
+                self.now + lasts,
+                how,
+                step.needs,
+                lasts,
             ),
         )
         if outcome == events.CallResult.DONE and not was_there:
--- a/tests/core/jobs/test_owner.py
+++ b/tests/core/jobs/test_owner.py
@@ -185,3 +185,26 @@
         world.run(1)
         shown = world.daemons[0].table["j1"].state
         self.assertEqual(model.JobState.COMPLETED, shown)
+
+    def test_tasks_move_away_from_a_worker_that_stands_still(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(2, CORE, 2.0))
+        world.run(1.0)
+        first = world.workers[world.starts[0].worker_id]
+        first.is_hanging = True
+        world.run(7)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertNotEqual(first.entry.worker_id, world.starts[-1].worker_id)
+        self.assertEqual([], world.broken)
+
+    def test_slow_progress_of_a_long_task_is_no_stall(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(2, CORE, 60.0))
+        world.run(50)
+        self.assertEqual(2, len(world.starts))
+
+    def test_standing_tasks_show_no_progress_and_stay(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(2, CORE, standing=True))
+        world.run(20)
+        self.assertEqual(2, len(world.starts))
