Move runs early that would be lost with a leaving worker

Cause: what runs on a worker when it leaves ends unlisted, and its tasks wait for the lease (4 s) before they start elsewhere; standing tasks are away so long.

--- a/packages/core/mimosaridge_core/jobs/holding.py
+++ b/packages/core/mimosaridge_core/jobs/holding.py
@@ -1,5 +1,7 @@
 """Holds of workers: leases, what runs there, what has ended."""
 
+import dataclasses
+
 from mimosaridge_core.jobs import dispatch
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
@@ -37,6 +39,9 @@
     out: list,
 ) -> None:
     old = st.entries.get(worker_id)
+    if old and entry and old.draining and entry.draining:
+        # Each heartbeat of a leaving worker tells a shorter time.
+        entry = dataclasses.replace(entry, remaining_s=old.remaining_s)
     if old == entry:
         return
     if entry is None:
--- a/packages/core/mimosaridge_core/jobs/model.py
+++ b/packages/core/mimosaridge_core/jobs/model.py
@@ -223,6 +223,8 @@
         capacity: What it has.
         labels: Its labels; the rack is one of them.
         draining: Whether it is leaving.
+        remaining_s: How long a draining worker stays at least, seconds; as of
+            the entry's first change to draining.
     """
 
     worker_id: str
@@ -233,6 +235,7 @@
     capacity: resources.Resources
     labels: tuple[str, ...] = ()
     draining: bool = False
+    remaining_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -78,6 +78,7 @@
         looked_at: When its runs were listed last.
         moved_at: When any of its runs last showed progress.
         speed: Its measured speed; 1.0 is as declared.
+        leaves_at: When it may leave, if it drains.
     """
 
     entry: model.WorkerEntry
@@ -102,6 +103,7 @@
     looked_at: float = 0.0
     moved_at: float = 0.0
     speed: float = 1.0
+    leaves_at: float = 0.0
 
     @property
     def rack(self) -> str:
--- a/packages/core/mimosaridge_core/jobs/ticking.py
+++ b/packages/core/mimosaridge_core/jobs/ticking.py
@@ -1,6 +1,7 @@
 """What time alone brings about."""
 
 from mimosaridge_core.jobs import dispatch
+from mimosaridge_core.jobs import draining
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import holding
 from mimosaridge_core.jobs import placing
@@ -19,6 +20,7 @@
         return
     _open_repetitions(st, owner, out)
     holding.check(st, owner, out)
+    draining.check(st, owner, out)
     starting.check(st, owner, out)
     placing.place_all(st, owner, out)
     writing.check(st, owner, out)
--- a/standins/mimosaridge_fakes/jobworlds.py
+++ b/standins/mimosaridge_fakes/jobworlds.py
@@ -121,6 +121,17 @@
         worker.is_up = False
         worker.running.clear()
 
+    def drain_worker(self, worker_id: str, remaining_s: float = 2.0) -> None:
+        """Lists a worker as leaving."""
+        worker = self.workers[worker_id]
+        worker.entry = dataclasses.replace(
+            worker.entry, draining=True, remaining_s=remaining_s
+        )
+        for number in range(len(self.daemons)):
+            self.tell(
+                number, events.WorkerChanged(self.now, worker_id, worker.entry)
+            )
+
     def unlist_worker(self, worker_id: str) -> None:
         """Removes a worker's entry."""
         for number in range(len(self.daemons)):
--- a/tests/core/jobs/test_owner.py
+++ b/tests/core/jobs/test_owner.py
@@ -208,3 +208,43 @@
         world.submit("j1", model.Step(2, CORE, standing=True))
         world.run(20)
         self.assertEqual(2, len(world.starts))
+
+
+class DrainTest(testtools.TestCase):
+    """Workers that leave."""
+
+    def _drained(self, step, remaining_s):
+        world = _world(workers=2)
+        world.submit("j1", step)
+        world.run(1.0)
+        first = world.starts[0].worker_id
+        world.drain_worker(first, remaining_s)
+        world.run(remaining_s)
+        world.crash_worker(first)
+        world.unlist_worker(first)
+        return world
+
+    def test_nothing_starts_on_a_leaving_worker(self):
+        world = _world(workers=2)
+        world.drain_worker("w0")
+        world.submit("j1", model.Step(4, CORE, 0.5))
+        world.run(2)
+        self.assertEqual({"w1"}, {start.worker_id for start in world.starts})
+
+    def test_what_ends_in_time_stays(self):
+        world = self._drained(model.Step(1, CORE, 1.5), 2.5)
+        self.assertEqual(1, len(world.starts))
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+
+    def test_what_would_be_lost_moves_at_once(self):
+        world = self._drained(model.Step(1, CORE, 20.0), 2.5)
+        self.assertEqual(2, len(world.starts))
+        self.assertEqual([], world.broken)
+
+    def test_standing_tasks_move_at_once(self):
+        world = self._drained(model.Step(2, CORE, standing=True), 2.5)
+        placed = [start.worker_id for start in world.starts]
+        self.assertEqual({"w0", "w1"}, set(placed[:2]))
+        self.assertEqual(3, len(placed))
+        self.assertNotEqual(placed[0], placed[2])
+        self.assertEqual([], world.broken)
