--- a/packages/core/mimosaridge_core/jobs/placing.py
+++ b/packages/core/mimosaridge_core/jobs/placing.py
@@ -53,13 +53,14 @@
 def rank(st: state.State, owner: state.Owner, group: state.Group) -> tuple:
     """Returns a sort key; the least goes first.
 
-    Within a priority: teams within their weight, then jobs that can still
-    meet their objective, then the latest start that meets it.
+    Jobs within their team's weight go before all that is beyond one. Within a
+    priority: jobs that can still meet their objective, then the latest start
+    that meets it.
     """
     entry = st.table[group.job_id]
     queue = st.configuration.queues.get(entry.job.queue)
     if queue is None:
-        return (1_000, False, True, group.ready_at)
+        return (True, 1_000, True, group.ready_at)
     chain = max(
         work.chain_s(entry.job, number)
         for number in range(len(entry.job.steps))
@@ -70,7 +71,7 @@
     latest = objective - left
     is_late = st.wall > objective - left * ESTIMATE_TRUST
     beyond = group.job_id in owner.beyond
-    return (queue.priority, beyond, is_late, latest)
+    return (beyond, queue.priority, is_late, latest)
 
 
 def _usable(
--- a/packages/core/mimosaridge_core/jobs/work.py
+++ b/packages/core/mimosaridge_core/jobs/work.py
@@ -73,14 +73,16 @@
     owner.jobs[job_id] = set()
     if entry.job.repeats:
         owner.timed.add(job_id)
-    _charge(st, owner, entry.job)
+    _charge(st, owner, entry.job, out)
     if entry.cancelled:
         finish(st, owner, entry, model.JobState.CANCELLED, out)
         return
     open_groups(st, owner, entry, out)
 
 
-def _charge(st: state.State, owner: state.Owner, job: model.Job) -> None:
+def _charge(
+    st: state.State, owner: state.Owner, job: model.Job, out: list
+) -> None:
     """Notes whether a team sends more jobs than its weight allows."""
     team = st.configuration.teams.get(job.team) if st.configuration else None
     if team is None:
@@ -90,6 +92,14 @@
     left = min(most, left + (st.now - at) * team.weight)
     if left < 1.0:
         owner.beyond.add(job.job_id)
+        out.append(
+            effects.Decision(
+                "beyond-weight",
+                job.job_id,
+                "",
+                {"team": job.team, "weight": team.weight},
+            )
+        )
     else:
         left -= 1.0
     owner.rate[job.team] = (left, st.now)
