Count what a fleet in doubt says; keep the owner just after an outage of all

In a store outage the owner's write that a worker gets no more starts was made and not answered. The owner took it as not made and used the worker again; the next owner read from the store that only older jobs could run there. The takeover itself was needless: when the store came back to all, a daemon claimed before the owner could say that it had it back, too. Ruled out: the new lease module (the old owner's runs were within their lease).

--- a/packages/core/mimosaridge_core/jobs/election.py
+++ b/packages/core/mimosaridge_core/jobs/election.py
@@ -42,15 +42,28 @@
     is_gone: bool = False
 
 
-def should_claim(view: View, name: str, boot: str, now: float) -> bool:
-    """Tells whether a daemon that reaches the store should claim ownership."""
+def should_claim(
+    view: View, name: str, boot: str, now: float, answering_since: float = 0.0
+) -> bool:
+    """Tells whether a daemon should claim ownership.
+
+    Args:
+        view: What it knows of the owner.
+        name: Its name.
+        boot: Id of its process.
+        now: Steady time, seconds.
+        answering_since: Since when the store has answered it without a break:
+            an owner that lost the store as all did has not heard yet that the
+            store is back.
+    """
     if not view.is_known:
         return False
     if view.revision == 0 or view.is_gone:
         return True
     if view.owner == name:
         return view.boot != boot
-    if view.storeless_since and now - view.storeless_since > OWNER_STORELESS_S:
+    without_store = max(view.storeless_since, answering_since)
+    if view.storeless_since and now - without_store > OWNER_STORELESS_S:
         return True
     heard = max(view.heard_at, view.heard_elsewhere_at)
     return now - heard > OWNER_SILENCE_S
--- a/packages/core/mimosaridge_core/jobs/fleets.py
+++ b/packages/core/mimosaridge_core/jobs/fleets.py
@@ -58,10 +58,13 @@
 
 
 def is_usable(owner: state.Owner, worker_id: str) -> bool:
-    """Tells whether the store says that a worker gets starts."""
-    fleet = owner.fleet
-    return (
-        fleet is not None
-        and worker_id in fleet.workers
-        and worker_id not in fleet.closed
+    """Tells whether the store surely says that a worker gets starts.
+
+    A write without answer may have been made: what it says counts as well.
+    """
+    if owner.fleet is None:
+        return False
+    return all(
+        worker_id in fleet.workers and worker_id not in fleet.closed
+        for fleet in (owner.fleet, *owner.fleets_in_doubt)
     )
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -228,6 +228,7 @@
             run.
         fleet: Its workers as stored; None if not yet stored.
         fleet_writing: The same, in the write under way.
+        fleets_in_doubt: Those written since without a good answer.
         rate: Jobs that a team may still submit within its weight.
         beyond: Jobs that came beyond their team's weight.
         timed: Unfinished jobs with repetitions.
@@ -258,6 +259,7 @@
     )
     fleet: model.Fleet | None = None
     fleet_writing: model.Fleet | None = None
+    fleets_in_doubt: list[model.Fleet] = dataclasses.field(default_factory=list)
     rate: dict[str, tuple[float, float]] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/core/mimosaridge_core/jobs/writing.py
+++ b/packages/core/mimosaridge_core/jobs/writing.py
@@ -35,7 +35,11 @@
         job: st.table[job].progress.state for job in jobs if job in st.table
     }
     owner.noting = noting
-    owner.fleet_writing = fleet if fleet_changed else None
+    owner.fleet_writing = None
+    if fleet_changed:
+        owner.fleet_writing = fleet
+        if fleet not in owner.fleets_in_doubt:
+            owner.fleets_in_doubt.append(fleet)
     items = {}
     for job in jobs:
         del owner.dirty[job]
@@ -113,4 +117,5 @@
     owner.write_after = st.now + tunables.WRITE_PAUSE_S
     if owner.fleet_writing is not None:
         owner.fleet = owner.fleet_writing
+        owner.fleets_in_doubt.clear()
     _note(st, owner, owner.noting, out)
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -158,7 +158,11 @@
 
     def _should_claim(self) -> bool:
         return election.should_claim(
-            self.view, self.name, self.boot, time.monotonic()
+            self.view,
+            self.name,
+            self.boot,
+            time.monotonic(),
+            self.store.answering_since,
         )
 
     def _claim(self) -> None:
--- a/packages/daemon/mimosaridge_daemon/jobs/storage.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/storage.py
@@ -35,6 +35,7 @@
     Attributes:
         has_store: Whether direct calls are answered.
         reached_at: When any call was last answered, steady seconds.
+        answering_since: Since when no call has failed by all ways.
     """
 
     def __init__(self, address: str) -> None:
@@ -43,6 +44,7 @@
         self.rests_until = 0.0
         self.has_store = True
         self.reached_at = time.monotonic()
+        self.answering_since = 0.0
 
     def call(
         self, request: calls.Request, timeout_s: float = TIMEOUT_S
@@ -54,6 +56,12 @@
             taken effect by any of the ways tried. A status of 429 or 503
             means that no way has done anything.
         """
+        answer = self._call_any_way(request, timeout_s)
+        if not _is_served(answer):
+            self.answering_since = time.monotonic()
+        return answer
+
+    def _call_any_way(self, request: calls.Request, timeout_s: float) -> Answer:
         direct: Answer | None = None
         if time.monotonic() >= self.rests_until:
             direct = self.call_directly(request, timeout_s)
--- a/standins/mimosaridge_fakes/jobworlds.py
+++ b/standins/mimosaridge_fakes/jobworlds.py
@@ -38,12 +38,14 @@
         late: Share of calls to workers carried out seconds later.
         failing: Share of runs that end as failed.
         is_store_down: Whether writes of progress fail.
+        lost_writes: Share of writes that are made and reported as not made.
     """
 
     lost: float = 0.0
     late: float = 0.0
     failing: float = 0.0
     is_store_down: bool = False
+    lost_writes: float = 0.0
 
 
 class World:
@@ -441,13 +443,14 @@
                 self.progress.pop(job_id, None)
             if fleet is not None:
                 self.fleet = fleet
+            is_lost = self.rng.random() < self.trouble.lost_writes
             self.tell(
                 number,
                 events.ProgressWritten(
                     self.now,
                     effect.batch,
-                    dict.fromkeys(items, self.revision),
-                    True,
+                    {} if is_lost else dict.fromkeys(items, self.revision),
+                    not is_lost,
                 ),
             )
 
--- a/tests/core/jobs/test_owner.py
+++ b/tests/core/jobs/test_owner.py
@@ -153,6 +153,20 @@
         self.assertEqual(model.JobState.COMPLETED, world.state_of("j3"))
         self.assertEqual([], world.broken)
 
+    def test_a_closing_that_may_be_stored_keeps_a_worker_closed(self):
+        world = _world(workers=1)
+        world.submit("j1", model.Step(1, CORE, 30.0))
+        world.run(0.5)
+        world.trouble.lost_writes = 1.0
+        world.workers["w0"].is_reachable = False
+        world.run(1.5)
+        world.workers["w0"].is_reachable = True
+        world.trouble.is_store_down = True
+        world.run(1)
+        world.submit("j2", model.Step(1, CORE, 3.0))
+        world.run(1)
+        self.assertEqual(1, len(world.starts))
+
     def test_a_second_takeover_still_knows_the_lost_worker(self):
         world = _world(daemons=3, workers=2)
         world.submit("j1", model.Step(1, CORE, 30.0))
--- a/tests/core/jobs/test_random.py
+++ b/tests/core/jobs/test_random.py
@@ -26,7 +26,7 @@
 
 
 def _disturb(world, rng):
-    kind = rng.randrange(9)
+    kind = rng.randrange(10)
     worker_id = rng.choice(sorted(world.workers))
     worker = world.workers[worker_id]
     if kind == 0:
@@ -45,6 +45,8 @@
     elif kind == 7:
         number = rng.randrange(2)
         world.frozen = set() if world.frozen else {number}
+    elif kind == 8:
+        world.trouble.lost_writes = rng.choice((0.0, 0.5))
     else:
         world.trouble.failing = rng.choice((0.0, 0.1))
 
--- a/tests/daemon/jobs/test_owning.py
+++ b/tests/daemon/jobs/test_owning.py
@@ -20,6 +20,7 @@
 
     def __init__(self, *answers):
         self.answers = list(answers)
+        self.answering_since = 0.0
         self.requests = []
 
     def call(self, request):
@@ -90,6 +91,11 @@
         view = election.View(True, 5, "b", "x", 99.9, storeless_since=97.0)
         self.assertTrue(election.should_claim(view, "a", "x", 100.0))
 
+    def test_an_owner_without_store_is_kept_just_after_an_outage_of_all(self):
+        view = election.View(True, 5, "b", "x", 99.9, storeless_since=95.0)
+        self.assertFalse(election.should_claim(view, "a", "x", 100.0, 99.5))
+        self.assertTrue(election.should_claim(view, "a", "x", 102.0, 99.5))
+
     def test_a_former_process_of_this_machine_is_replaced_at_once(self):
         view = election.View(True, 5, "a", "old", heard_at=100.0)
         self.assertTrue(election.should_claim(view, "a", "new", 100.0))
