Tell a job's story from the daemons' log lines

Cause: a newly hired analyst must be able to tell what happened to every piece of work; the platform's daemons wrote structured lines, but nothing put them in order. `mimosaridge story JOB FILES` does, with the takeovers and lost workers of that time. docs/METRICS.md lists the metrics that the daemon exposes. Ruled out: asking the daemons (they keep nothing beyond their process). Before: no such command.

--- a/packages/cli/mimosaridge_cli/main.py
+++ b/packages/cli/mimosaridge_cli/main.py
@@ -13,9 +13,12 @@
 from mimosaridge_cli import analyst
 from mimosaridge_cli import output
 from mimosaridge_cli import progress
+from mimosaridge_cli import storyteller
 
 
-class Commands(analyst.Analyst, administrator.Administrator):
+class Commands(
+    analyst.Analyst, administrator.Administrator, storyteller.Storyteller
+):
     """Asks, changes and explains a mimosaridge deployment.
 
     Flags before the command: --address=http://IP:PORT[,...] (or
--- a/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
@@ -43,6 +43,12 @@
 IS_OWNER = prometheus_client.Gauge(
     "mimosaridge_is_owner", "1 if this daemon is the owner", registry=REGISTRY
 )
+# Labels of the metrics that have any, by name.
+LABELS = {
+    "mimosaridge_decisions": ("rule",),
+    "mimosaridge_answers": ("call", "status"),
+    "mimosaridge_call_seconds": ("target",),
+}
 
 
 class QueuedHandler(logs.JsonHandler):
--- a/packages/daemon/mimosaridge_daemon/pages.py
+++ b/packages/daemon/mimosaridge_daemon/pages.py
@@ -3,6 +3,7 @@
 from mimosaridge_core import account
 from mimosaridge_daemon import gauges
 from mimosaridge_daemon import settings
+from mimosaridge_daemon.jobs import telemetry
 
 SETTINGS_HEAD = """\
 # Settings of a daemon
@@ -40,6 +41,15 @@
 | name | meaning |
 |---|---|
 """
+PLATFORM_HEAD = """
+## On the users' platform
+
+The daemon of `deploy/system.toml` sends nothing; it answers on its metrics
+address (port 9464, `/metrics`) with text.
+
+| name | kind | labels | meaning |
+|---|---|---|---|
+"""
 COUNTERS = {
     "reducer.failed": "Events that the reducer could not take; see the log.",
     "effect.failed": "Effects that could not be carried out; see the log.",
@@ -67,4 +77,12 @@
         for rule in account.Rule
     }
     counted = [f"| `{name}` | {text} |\n" for name, text in counters.items()]
-    return METRICS_HEAD + "".join(rows) + COUNTERS_HEAD + "".join(counted)
+    exposed = [
+        f"| `{metric.name}` | {metric.type}"
+        f" | {', '.join(telemetry.LABELS.get(metric.name, ())) or 'none'}"
+        f" | {metric.documentation} |\n"
+        for metric in telemetry.REGISTRY.collect()
+    ]
+    return "".join(
+        [METRICS_HEAD, *rows, COUNTERS_HEAD, *counted, PLATFORM_HEAD, *exposed]
+    )
