Keep tasks that fill apart from tasks that serve

Cause: tasks that fill disturb serving ones beside them by unknown amounts; a serving task over its target for harmMs breaks HARM on deployments that have both. Ruled out: pacing what fills by the reported tails; it would pack more, and stays open until a site shows its worth. Before: nothing kept them apart (the new tests failed to hold by chance only).

--- a/packages/core/mimosaridge_core/jobs/placing.py
+++ b/packages/core/mimosaridge_core/jobs/placing.py
@@ -241,7 +241,8 @@
 ) -> state.Worker | None:
     """Returns the fullest worker that has room, or the emptiest.
 
-    Standing tasks are spread; what ends soon is packed, to keep whole
+    Standing tasks are spread, but for those with a latency target, which
+    leave workers to tasks that fill; what ends soon is packed, to keep whole
     workers free. A worker on which the task failed is taken last.
     """
     needs = work.room_needs(group.step)
@@ -252,14 +253,16 @@
         left = worker.entry.capacity - worker.used
         if worker_id in current.kept or not _fits(needs, left):
             continue
-        if not _may_add(group, worker_id):
+        if not _may_add(group, worker_id) or _disturbs(group, worker):
             continue
         after = (left - needs).dominant_fraction(worker.entry.capacity)
         score = (
             worker_id in failed_on,
             worker.failures > 0,
             bool(group.step.rack) and group.step.rack != worker.rack,
-            -after if group.step.standing else after,
+            -after
+            if group.step.standing and not group.step.target_ms
+            else after,
             worker_id,
         )
         if best_score is None or score < best_score:
@@ -275,6 +278,19 @@
     )
 
 
+def _disturbs(group: state.Group, worker: state.Worker) -> bool:
+    """Tells whether tasks that fill would share a worker with serving ones.
+
+    By how much they disturb is not known beforehand and changes within
+    seconds; apart from each other they never do.
+    """
+    if group.step.fills:
+        return any(run.serves for run in worker.runs.values())
+    if group.step.target_ms:
+        return any(run.fills for run in worker.runs.values())
+    return False
+
+
 def _may_add(group: state.Group, worker_id: str) -> bool:
     most = group.step.most_per_worker
     if not most:
@@ -337,7 +353,7 @@
         ),
     )
     for worker in ordered:
-        if worker.entry.worker_id in current.kept:
+        if worker.entry.worker_id in current.kept or _disturbs(group, worker):
             continue
         left = worker.entry.capacity - worker.used
         added = 0
@@ -377,6 +393,8 @@
         st.now,
         saved=saved,
         percent_at=st.now,
+        serves=group.step.target_ms > 0,
+        fills=group.step.fills,
     )
     runs.add(owner, worker, run)
     group.runs.setdefault(index, []).append(run)
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -52,6 +52,8 @@
         entry, repetition, number, index = place
         run.team = entry.job.team
         run.needs = work.room_needs(entry.job.steps[number])
+        run.serves = entry.job.steps[number].target_ms > 0
+        run.fills = entry.job.steps[number].fills
     add(owner, worker, run)
     wanted = False
     if place is not None and entry.job.job_id in owner.jobs:
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -34,6 +34,8 @@
         percent: Progress as last listed.
         percent_at: When the progress last changed.
         why_stopped: Reason of the stop.
+        serves: Whether it serves users with a latency target.
+        fills: Whether it fills what others leave of its worker.
     """
 
     task_id: str
@@ -49,6 +51,8 @@
     percent: float = -1.0
     percent_at: float = 0.0
     why_stopped: str = ""
+    serves: bool = False
+    fills: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/core/jobs/test_owner.py
+++ b/tests/core/jobs/test_owner.py
@@ -318,3 +318,32 @@
         self.assertEqual(3, len(placed))
         self.assertNotEqual(placed[0], placed[2])
         self.assertEqual([], world.broken)
+
+
+class SharingTest(testtools.TestCase):
+    """Tasks that disturb each other."""
+
+    def test_tasks_that_fill_stay_away_from_serving_ones(self):
+        world = _world(workers=3)
+        world.submit(
+            "j1", model.Step(2, CORE, standing=True, target_ms=50, image="a")
+        )
+        world.run(1)
+        world.submit("j2", model.Step(6, CORE, 3.0, fills=True, image="b"))
+        world.run(1)
+        serving = {start.worker_id for start in world.starts[:2]}
+        filling = {start.worker_id for start in world.starts[2:]}
+        self.assertEqual(1, len(serving))
+        self.assertEqual(6, len(world.starts[2:]))
+        self.assertEqual(set(), serving & filling)
+
+    def test_serving_tasks_stay_away_from_those_that_fill(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(1, CORE, 30.0, fills=True))
+        world.run(1)
+        world.submit("j2", model.Step(3, CORE, standing=True, target_ms=50))
+        world.run(1)
+        filling = world.starts[0].worker_id
+        serving = {start.worker_id for start in world.starts[1:]}
+        self.assertEqual(3, len(world.starts[1:]))
+        self.assertNotIn(filling, serving)
