Describe the path on the users' platform

Cause: the design, its weighed ways, operations, settings, capacity and what is proved had no pages.

--- a/packages/daemon/mimosaridge_daemon/pages.py
+++ b/packages/daemon/mimosaridge_daemon/pages.py
@@ -20,6 +20,18 @@
 divided by commas) and `MIMOSARIDGE_KEY`; the flags `--address` and `--key` go
 before them. Its exit codes: 0 done, 1 refused or failed (the result code is
 printed), 2 wrong usage, 3 no daemon was reached.
+
+## On the users' platform
+
+The daemon of `deploy/system.toml` reads the platform's settings file, whose
+path stands in `MIMOSARIDGE_CONFIG` (lines `a.b=value`; docs of the platform
+name all fields, unknown ones are ignored). It needs `nodeName`, `ip`, `zone`,
+`listenAddresses.front`, `listenAddresses.readiness`, `internalPortRange` (peers
+use the first port) and `platform.address`; it uses `recommendation`,
+`seedNodes` and `bounds.*` if they are there. A missing or malformed field ends
+the start with exit code 2 and names the field. Everything else is a constant
+with its unit and source in `mimosaridge_core/jobs/tunables.py` or beside its
+use. Metrics are answered on port 9464.
 """
 METRICS_HEAD = """\
 # Metrics
