Become the owner only once the store was read; never take an older fleet

Ruled out: that the table has the same fault (it compares revisions). Before: the test of an older fleet is new and failed by construction.

--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -50,6 +50,8 @@
 ENTRY_TTL_MS = 15_000
 ENTRY_RENEWAL_S = 5.0
 ENTRY_RETRY_S = 0.5
+# A new owner that can't read the store tries again after this time.
+READ_AGAIN_S = 0.2
 # A daemon that reaches the store by no way for this long is not ready.
 STORELESS_S = 1.5
 
@@ -268,14 +270,8 @@
         gevent.spawn(self._begin_owning, token, is_former_gone)
 
     def _begin_owning(self, token: int, is_former_gone: bool) -> None:
-        answer = storage.read_all(self.store, documents.OWN)
-        if answer.is_err():
-            self.log("owner-unread", reason=answer.err_value, token=token)
-        else:
-            self.reader.list_own(answer.ok_value)
-        workers = storage.read_all(self.store, storecalls.WORKERS)
-        if workers.is_ok():
-            self.reader.list_workers(workers.ok_value)
+        while self.owning.token == token and not self._read_anew(token):
+            gevent.sleep(READ_AGAIN_S)
         if self.owning.token != token:
             return
         self.post(
@@ -287,6 +283,20 @@
             )
         )
 
+    def _read_anew(self, token: int) -> bool:
+        """Reads all that an owner must know; tells whether it was read."""
+        for prefix, take in (
+            (documents.OWN, self.reader.list_own),
+            (storecalls.WORKERS, self.reader.list_workers),
+        ):
+            answer = storage.read_all(self.store, prefix)
+            if answer.is_err():
+                reason = answer.err_value
+                self.log("owner-unread", reason=reason, token=token)
+                return False
+            take(answer.ok_value)
+        return True
+
     def _lost(self, token: int, reason: str) -> None:
         telemetry.IS_OWNER.set(0)
         self.post(events.OwnershipLost(time.monotonic(), token, reason))
--- a/packages/daemon/mimosaridge_daemon/jobs/reading.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/reading.py
@@ -44,6 +44,7 @@
         self.recorder = recorder
         self.has_jobs = False
         self.fleet = model.Fleet()
+        self.fleet_revision = 0
         self.zones_out: frozenset[str] = frozenset()
 
     def list_operators(self, page: storecalls.Page) -> None:
@@ -168,8 +169,15 @@
             self.peering.add(entry.name, entry.url)
             self.owning.hear_boot(entry.name, entry.boot)
         elif item.key == documents.FLEET and item.value is not None:
-            self.fleet = documents.decode(model.Fleet, item.value)
-            self.recorder.see_fleet(item.revision)
+            self._read_fleet(item)
+
+    def _read_fleet(self, item: storecalls.Item) -> None:
+        """Takes the fleet, unless a newer one was read: watches lag."""
+        if item.revision < self.fleet_revision:
+            return
+        self.fleet = documents.decode(model.Fleet, item.value)
+        self.fleet_revision = item.revision
+        self.recorder.see_fleet(item.revision)
 
 
 def _split(key: str) -> tuple[str, str]:
--- /dev/null
+++ b/tests/daemon/jobs/test_reading.py
@@ -0,0 +1,106 @@
+"""What the store holds becomes events; older news change nothing."""
+
+import testtools
+
+from mimosaridge_core import resources
+from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import model
+from mimosaridge_daemon.jobs import documents
+from mimosaridge_daemon.jobs import owning
+from mimosaridge_daemon.jobs import reading
+from mimosaridge_platform import storecalls
+
+JOB = model.Job(
+    "0" * 16,
+    "q",
+    "registry",
+    "a",
+    "text",
+    (model.Step(2, resources.Resources(100, 10, 0)),),
+    5.0,
+)
+
+
+class FakeRecorder:
+    """Keeps the revision of the fleet."""
+
+    seen = 0
+
+    def see_fleet(self, revision):
+        self.seen = max(self.seen, revision)
+
+
+class FakePeers:
+    """Keeps which daemons were added."""
+
+    def __init__(self):
+        self.added = {}
+
+    def add(self, name, url):
+        self.added[name] = url
+
+    def remove(self, name):
+        self.added.pop(name, None)
+
+
+def _reader():
+    posted = []
+    claims = owning.Owning(
+        "a", "boot", None, lambda *args: None, lambda *args: None
+    )
+    peers = FakePeers()
+    made = reading.Reader(posted.append, claims, peers, FakeRecorder())
+    return made, posted, peers
+
+
+def _item(key, value, revision):
+    return storecalls.Item(key, documents.encode(value), revision)
+
+
+class ReaderTest(testtools.TestCase):
+    """Lists and changes."""
+
+    def test_a_list_carries_jobs_progress_and_cancellations(self):
+        reader, posted, peers = _reader()
+        progress = model.Progress(model.JobState.RUNNING)
+        daemon = documents.Daemon("b", "boot-b", "ws://b")
+        items = (
+            _item(documents.JOBS + JOB.job_id, JOB, 4),
+            _item(documents.PROGRESS + JOB.job_id, progress, 6),
+            storecalls.Item(documents.CANCELS + JOB.job_id, b"{}", 7),
+            _item(documents.DAEMONS + "b", daemon, 3),
+        )
+        reader.list_own(storecalls.Page(items, False, 9))
+        listed = posted[-1]
+        self.assertEqual(9, listed.revision)
+        self.assertEqual({JOB.job_id: (JOB, 4)}, listed.jobs)
+        self.assertEqual({JOB.job_id: (progress, 6)}, listed.progress)
+        self.assertEqual({JOB.job_id}, listed.cancelled)
+        self.assertEqual({"b": "ws://b"}, peers.added)
+        self.assertTrue(reader.has_jobs)
+
+    def test_an_older_fleet_is_not_taken(self):
+        reader, _, _ = _reader()
+        reader.change_own(_item(documents.FLEET, model.Fleet(("w2",)), 9))
+        reader.change_own(_item(documents.FLEET, model.Fleet(("w1",)), 5))
+        self.assertEqual(("w2",), reader.fleet.workers)
+        self.assertEqual(9, reader.recorder.seen)
+
+    def test_an_item_that_cannot_be_read_changes_nothing(self):
+        reader, posted, _ = _reader()
+        item = storecalls.Item(documents.JOBS + JOB.job_id, b"oops", 4)
+        reader.change_own(item)
+        self.assertEqual([], posted)
+
+    def test_a_foreign_entry_is_a_worker_that_is_gone(self):
+        reader, posted, _ = _reader()
+        reader.change_worker(storecalls.Item("servers/w1", b"\xff", 4))
+        self.assertIsInstance(posted[0], events.WorkerChanged)
+        self.assertIsNone(posted[0].entry)
+
+    def test_zones_are_taken_out_and_back(self):
+        reader, posted, _ = _reader()
+        reader.change_operators(storecalls.Item("op/evacuate/z", b"{}", 4))
+        self.assertEqual(frozenset({"z"}), posted[-1].zones)
+        reader.change_operators(storecalls.Item("op/evacuate/z", None, 5))
+        self.assertEqual(frozenset(), posted[-1].zones)
