--- a/tests/core/jobs/test_owner.py
+++ b/tests/core/jobs/test_owner.py
@@ -281,6 +281,72 @@
         self.assertEqual(2, len(world.starts))
 
 
+class WishTest(testtools.TestCase):
+    """What a step asks of its workers, and when."""
+
+    def test_repetitions_start_when_they_are_due(self):
+        world = _world()
+        world.submit(
+            "j1",
+            model.Step(1, CORE, 0.3),
+            repeats=3,
+            first_run_at=world.now + 1.0,
+            interval_s=1.0,
+        )
+        world.run(0.8)
+        self.assertEqual(0, len(world.starts))
+        world.run(0.5)
+        self.assertEqual(1, len(world.starts))
+        world.run(3.0)
+        self.assertEqual(
+            ["j1.0.0.0", "j1.1.0.0", "j1.2.0.0"],
+            [start.task_id for start in world.starts],
+        )
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+
+    def test_the_rack_of_the_data_is_preferred(self):
+        world = _world()
+        world.submit("j1", model.Step(2, CORE, 0.5, rack="rack-w2"))
+        world.run(0.5)
+        self.assertEqual({"w2"}, {start.worker_id for start in world.starts})
+
+    def test_a_label_that_no_worker_has_is_waited_for(self):
+        world = _world()
+        world.submit("j1", model.Step(1, CORE, 0.5, label="fast"))
+        world.run(2)
+        self.assertEqual([], world.starts)
+
+    def test_at_most_so_many_tasks_run_on_one_worker(self):
+        world = _world(workers=3)
+        world.submit("j1", model.Step(6, CORE, 5.0, most_per_worker=1))
+        world.run(1)
+        self.assertEqual(
+            ["w0", "w1", "w2"],
+            sorted(start.worker_id for start in world.starts),
+        )
+
+    def test_a_zone_that_is_taken_out_gets_no_starts(self):
+        world = _world()
+        world.tell(0, events.ZonesOutChanged(world.now, frozenset({"zone-a"})))
+        world.submit("j1", model.Step(1, CORE, 0.5))
+        world.run(1)
+        self.assertEqual([], world.starts)
+        world.tell(0, events.ZonesOutChanged(world.now, frozenset()))
+        world.run(2)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+
+    def test_advice_is_asked_before_a_start_and_its_ticket_sent(self):
+        world = _world()
+        advice = model.Advice(0.05, 0.001, 2.0)
+        world.configure(world.configuration(version=2, advice=advice))
+        world.tell(0, events.PeersChanged(world.now, frozenset({"a", "b"})))
+        world.submit("j1", model.Step(2, CORE, 0.5))
+        world.run(1)
+        self.assertEqual(2, len(world.starts))
+        for start in world.starts:
+            self.assertEqual(f"t-{start.worker_id}", start.ticket)
+
+
 class ListTest(testtools.TestCase):
     """Lists of jobs that are older than what peers have told."""
 
