--- a/packages/core/mimosaridge_core/jobs/stalls.py
+++ b/packages/core/mimosaridge_core/jobs/stalls.py
@@ -19,8 +19,9 @@
 # A worker is slow below this share of the declared speed: estimates are half
 # wrong at most, and remote data costs half as much again.
 SLOW_SPEED = 0.3
-# Fewer runs say nothing of their worker: one may be declared too short.
-SLOW_RUNS = 2
+# Fewer jobs say nothing of their worker: all tasks of one may be declared too
+# short together.
+SLOW_JOBS = 2
 # Weight of the latest look in a worker's measured speed.
 SPEED_WEIGHT = 0.5
 # Looks closer than this say nothing of speed, seconds.
@@ -63,7 +64,7 @@
     movers = _movers(st, owner, worker)
     before = {key: run.percent for key, run in worker.runs.items()}
     has_moved = has_ended or not movers
-    gained_s = []
+    gained_s: dict[str, list[float]] = {}
     for row in rows:
         run = worker.runs.get((row.task_id, row.run))
         if run is not None and row.percent != before[(row.task_id, row.run)]:
@@ -78,11 +79,14 @@
             ),
             run.percent,
         )
-        gained_s.append((percent - run.percent) / 100 * group.step.estimate_s)
+        gained = (percent - run.percent) / 100 * group.step.estimate_s
+        gained_s.setdefault(group.job_id, []).append(gained)
     if has_moved:
         worker.moved_at = st.now
     if gained_s and since_s >= SPEED_LOOK_S:
-        speed = sum(gained_s) / len(gained_s) / since_s
+        # The fastest job counts: the others may be declared too short.
+        fastest = max(sum(each) / len(each) for each in gained_s.values())
+        speed = fastest / since_s
         worker.speed += SPEED_WEIGHT * (speed - worker.speed)
     elif not movers and has_ended:
         worker.speed = max(worker.speed, 1.0)
@@ -99,7 +103,8 @@
     shortest = min(group.step.estimate_s for _, group in movers)
     still_s = st.now - worker.moved_at
     is_still = still_s > STALL_S + STEPS_OF_PROGRESS * shortest / 100
-    is_slow = worker.speed < SLOW_SPEED and len(movers) >= SLOW_RUNS
+    jobs = {group.job_id for _, group in movers}
+    is_slow = worker.speed < SLOW_SPEED and len(jobs) >= SLOW_JOBS
     if not is_still and not is_slow:
         return
     worker.rests_until = max(worker.rests_until, st.now + REST_S)
--- a/tests/core/jobs/test_owner.py
+++ b/tests/core/jobs/test_owner.py
@@ -268,6 +268,15 @@
         self.assertNotEqual(first.entry.worker_id, world.starts[-1].worker_id)
         self.assertEqual([], world.broken)
 
+    def test_a_job_that_is_declared_too_short_stays(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(3, CORE, 0.5))
+        for index in range(3):
+            world.durations[f"j1.0.0.{index}"] = 5.0
+        world.run(6)
+        self.assertEqual(3, len(world.starts))
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+
     def test_slow_progress_of_a_long_task_is_no_stall(self):
         world = _world(workers=2)
         world.submit("j1", model.Step(2, CORE, 60.0))
