Trust an empty answer of a watch only once it has settled

Cause: before a history is dropped, watches hear nothing of changes for a second; a watch that ran out in that second named a revision beyond changes that it had not told, and the follower went on from there: an accepted job could stay unknown to the owner. Ruled out: listing all anew now and then (bytes between zones are dear). Before: the three new tests of the follower fail. After: they pass.

--- a/packages/daemon/mimosaridge_daemon/jobs/following.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/following.py
@@ -1,6 +1,7 @@
 """Follows prefixes of the store: a list, then watches."""
 
 from collections.abc import Callable
+import time
 
 import gevent
 import logbook
@@ -13,6 +14,9 @@
 # How much longer than its wait a watch may take before it counts as silent.
 GRACE_S = 0.7
 RETRY_S = 0.25
+# An answer without changes is trusted after this time: watches are deaf for a
+# second before a history is dropped; it is kept for 20 s at least otherwise.
+SETTLED_S = 3.0
 
 
 class Follower:
@@ -47,6 +51,7 @@
         self.changed = changed
         self.is_wanted = is_wanted
         self.revision = -1
+        self.quiet: tuple[float, int] | None = None
 
     def run(self) -> None:
         """Follows for ever."""
@@ -70,6 +75,7 @@
             return False
         self.listed(answer.ok_value)
         self.revision = answer.ok_value.revision
+        self.quiet = None
         return True
 
     def _watch(self) -> bool:
@@ -87,7 +93,24 @@
         page = storecalls.decode_changes(body)
         for item in page.items:
             self.changed(item)
-        self.revision = max(self.revision, page.revision)
+        self.take(page, time.monotonic())
         if page.items:
             gevent.sleep(self.pause_s)
         return True
+
+    def take(self, page: storecalls.Page, now: float) -> None:
+        """Decides where the next watch begins.
+
+        Before a history is dropped, a watch may hear nothing of changes that
+        are made, while its answer names a revision beyond them. So an answer
+        without changes moves on only once later watches from the same place
+        have not told that history was dropped.
+        """
+        if page.items:
+            self.revision = max(item.revision for item in page.items)
+            self.quiet = None
+        elif self.quiet is None:
+            self.quiet = (now, page.revision)
+        elif now - self.quiet[0] > SETTLED_S:
+            self.revision = max(self.revision, self.quiet[1])
+            self.quiet = (now, page.revision)
--- /dev/null
+++ b/tests/daemon/jobs/test_following.py
@@ -0,0 +1,91 @@
+"""What a follower asks for next, and what it must not skip."""
+
+import base64
+import json
+
+import gevent
+import result
+import testtools
+
+from mimosaridge_daemon.jobs import following
+from mimosaridge_platform import storecalls
+
+GONE = result.Ok((410, b"{}"))
+
+
+def _list(revision, *keys):
+    items = [_event(key, number + 1) for number, key in enumerate(keys)]
+    fields = {"items": items, "hasMore": False, "atRevision": revision}
+    return result.Ok((200, json.dumps(fields).encode()))
+
+
+def _event(key, revision):
+    value = base64.b64encode(b"x").decode()
+    return {"key": key, "value": value, "revision": revision}
+
+
+def _changes(revision, *events):
+    fields = {"events": list(events), "atRevision": revision}
+    return result.Ok((200, json.dumps(fields).encode()))
+
+
+class FakeStore:
+    """Answers calls from a list, then never again."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.paths = []
+
+    def call(self, request, timeout_s=1.0):
+        self.paths.append(request.path)
+        if not self.answers:
+            gevent.sleep(60)
+        return self.answers.pop(0)
+
+
+def _follow(*answers):
+    store = FakeStore(*answers)
+    lists, changes = [], []
+    follower = following.Follower(
+        store, "p/", 1000, 0.0, lists.append, changes.append
+    )
+    running = gevent.spawn(follower.run)
+    gevent.sleep(0.05)
+    running.kill()
+    return store, lists, changes
+
+
+def _after(path):
+    return int(path.partition("after=")[2].partition("&")[0])
+
+
+class FollowerTest(testtools.TestCase):
+    """Lists, watches and dropped histories."""
+
+    def test_changes_are_followed_from_the_last_one_heard(self):
+        store, lists, changes = _follow(
+            _list(10, "p/a"), _changes(14, _event("p/b", 12))
+        )
+        self.assertEqual(1, len(lists))
+        self.assertEqual(["p/b"], [item.key for item in changes])
+        self.assertEqual([10, 12], [_after(path) for path in store.paths[1:]])
+
+    def test_an_empty_answer_does_not_skip_what_may_be_unheard(self):
+        store, lists, _ = _follow(
+            _list(10, "p/a"), _changes(15), GONE, _list(16, "p/a", "p/b")
+        )
+        self.assertEqual([10, 10], [_after(path) for path in store.paths[1:3]])
+        self.assertEqual(2, len(lists))
+
+    def test_an_old_empty_answer_moves_on(self):
+        store, _, _ = _follow(_list(10, "p/a"))
+        follower = following.Follower(
+            store, "p/", 1000, 0.0, lambda page: None, lambda item: None
+        )
+        follower.revision = 10
+        page = storecalls.Page((), False, 15)
+        follower.take(page, 100.0)
+        follower.take(page, 100.0 + following.SETTLED_S / 2)
+        self.assertEqual(10, follower.revision)
+        follower.take(page, 100.1 + following.SETTLED_S)
+        self.assertEqual(15, follower.revision)
