--- a/packages/core/mimosaridge_core/jobs/tunables.py
+++ b/packages/core/mimosaridge_core/jobs/tunables.py
@@ -47,5 +47,3 @@
 RENEWAL_LEAD_S = 0.25
 # After a failed call for advice another is made after this time.
 ADVICE_RETRY_S = 0.2
-# Share of the objective beyond which a late job earns nothing (users' rules).
-LATE_FACTOR = 3.0
