--- a/packages/daemon/mimosaridge_daemon/pages.py
+++ b/packages/daemon/mimosaridge_daemon/pages.py
@@ -26,13 +26,14 @@
 The daemon of `deploy/system.toml` reads the platform's settings file, whose
 path stands in `MIMOSARIDGE_CONFIG` (lines `a.b=value`; docs of the platform
 name all fields, unknown ones are ignored). It needs `nodeName`, `ip`, `zone`,
-`listenAddresses.front`, `listenAddresses.readiness`, `internalPortRange` (peers
-use the first port) and `platform.address`; it uses `recommendation` if it is there.
-`seedNodes` and `bounds.*` are checked and not used yet: leases, waits and the
-time to leave are constants that suit the bounds of the two sites. A missing or malformed field ends
-the start with exit code 2 and names the field. Everything else is a constant
-with its unit and source in `mimosaridge_core/jobs/tunables.py` or beside its
-use. Metrics are answered on port 9464.
+`listenAddresses.front`, `listenAddresses.readiness`, `internalPortRange`
+(peers use the first port) and `platform.address`; it uses `recommendation` if
+it is there. `seedNodes` and `bounds.*` are checked and not used yet: leases,
+waits and the time to leave are constants that suit the bounds of the two
+sites. A missing or malformed field ends the start with exit code 2 and names
+the field. Everything else is a constant with its unit and source in
+`mimosaridge_core/jobs/tunables.py` or beside its use. Metrics are answered on
+port 9464.
 """
 METRICS_HEAD = """\
 # Metrics
