Derive leases, waits and the time to leave from the platform's limits; reload settings

Cause: leases of 4 s, holds of 1.2 s, the lead of stops, the time to leave and how long finished jobs are kept were constants that suit the two sites; the limits in the settings file were read and not used. On a deployment whose workers grant leases of 0.6 s all tasks lapse between two holds. Ruled out: longer leases where more is granted; a lost worker's tasks wait for their end. The fakes' holds wait and grant a lease once, at their arrival. Reload: the file is read at SIGHUP and within a second of a change; time limits count at once. Missing fields are named all at once.

--- a/packages/core/mimosaridge_core/jobs/draining.py
+++ b/packages/core/mimosaridge_core/jobs/draining.py
@@ -6,10 +6,8 @@
 
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
+from mimosaridge_core.jobs import timing
 
-# A run is stopped this long before its worker may leave, seconds: a stop takes
-# up to 0.9 s and its end must be listed.
-STOP_LEAD_S = 1.2
 # A run whose progress is unknown is taken to need this much more than declared.
 UNKNOWN_FACTOR = 1.3
 
@@ -47,7 +45,7 @@
     group = owner.groups.get(run.task_id.rpartition(".")[0])
     if group is None:
         return
-    left_s = worker.leaves_at - st.now - STOP_LEAD_S
+    left_s = worker.leaves_at - st.now - timing.stop_lead_s(st.bounds)
     if group.step.standing:
         stopping.stop(st, owner, worker, run, "worker leaves", out)
         return
--- a/packages/core/mimosaridge_core/jobs/events.py
+++ b/packages/core/mimosaridge_core/jobs/events.py
@@ -29,6 +29,14 @@
     wall: float
 
 
+@dataclasses.dataclass(slots=True)
+class BoundsChanged:
+    """The platform's time limits were read."""
+
+    now: float
+    bounds: model.Bounds
+
+
 @dataclasses.dataclass(slots=True)
 class ConfigurationChanged:
     """A configuration was read; older ones than that in force are ignored."""
--- a/packages/core/mimosaridge_core/jobs/holding.py
+++ b/packages/core/mimosaridge_core/jobs/holding.py
@@ -11,6 +11,7 @@
 from mimosaridge_core.jobs import runs
 from mimosaridge_core.jobs import stalls
 from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import timing
 from mimosaridge_core.jobs import tunables
 
 
@@ -119,7 +120,7 @@
     """
     worker.hold_open = True
     if worker.clock_at and not worker.unanswered:
-        ahead_ms = int(tunables.LEASE_S * 1000)
+        ahead_ms = int(timing.lease_s(st.bounds) * 1000)
         leases.extend(worker, leases.clock_ms(st, worker) + ahead_ms)
         worker.lease_asked = True
     waits = (
@@ -142,9 +143,10 @@
 
 
 def _wait_ms(st: state.State, owner: state.Owner) -> int:
+    longest = timing.hold_wait_ms(st.bounds)
     if st.now < owner.lossy_until:
-        return tunables.LOSSY_WAIT_MS
-    return tunables.HOLD_WAIT_MS
+        return min(longest, tunables.LOSSY_WAIT_MS)
+    return longest
 
 
 @dispatch.handles(events.HoldAnswered)
--- a/packages/core/mimosaridge_core/jobs/leases.py
+++ b/packages/core/mimosaridge_core/jobs/leases.py
@@ -1,6 +1,7 @@
 """When a worker's lease has surely ended, by the owner's clock."""
 
 from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import timing
 from mimosaridge_core.jobs import tunables
 
 
@@ -16,7 +17,8 @@
     """
     worker.clock_ms = at_ms
     worker.clock_at = st.now
-    until_ms = worker.lease_until_ms or at_ms + int(tunables.LEASE_S * 1000)
+    whole_ms = int(timing.lease_s(st.bounds) * 1000)
+    until_ms = worker.lease_until_ms or at_ms + whole_ms
     extend(worker, until_ms)
 
 
--- a/packages/core/mimosaridge_core/jobs/model.py
+++ b/packages/core/mimosaridge_core/jobs/model.py
@@ -210,6 +210,25 @@
         return best
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """The platform's time limits that decisions depend on, seconds.
+
+    Attributes:
+        longest_lease_s: Longest lease that a worker grants.
+        stop_s: Longest time that a stop takes.
+        restore_s: Time in which a task goes on from its checkpoint.
+        keep_finished_s: How long callers may ask for a finished job.
+        grace_s: Time between the signal to end and the kill.
+    """
+
+    longest_lease_s: float = 6.0
+    stop_s: float = 1.0
+    restore_s: float = 0.6
+    keep_finished_s: float = 120.0
+    grace_s: float = 6.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerEntry:
     """What a worker says of itself in the list of workers.
--- a/packages/core/mimosaridge_core/jobs/ownership.py
+++ b/packages/core/mimosaridge_core/jobs/ownership.py
@@ -5,14 +5,10 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import holding
 from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import timing
 from mimosaridge_core.jobs import tunables
 from mimosaridge_core.jobs import work
 
-# An earlier owner's orders have surely ended after this time.
-FORMER_LEASE_S = (
-    tunables.LEASE_S / (1 - tunables.CLOCK_SLOWNESS) + tunables.LEASE_MARGIN_S
-)
-
 
 @dispatch.handles(events.OwnershipClaimed)
 def claim(st: state.State, event: events.OwnershipClaimed, out: list) -> None:
@@ -22,7 +18,7 @@
     owner.displaced_until = st.now
     if not event.is_former_gone:
         owner.displaced_until += tunables.DISPLACED_OWNER_S
-    until = owner.displaced_until + FORMER_LEASE_S
+    until = owner.displaced_until + timing.former_lease_s(st.bounds)
     owner.unheld = dict.fromkeys(event.fleet.workers, until)
     owner.unheld_jobs = dict(event.fleet.closed)
     effects.note(
--- a/packages/core/mimosaridge_core/jobs/stalls.py
+++ b/packages/core/mimosaridge_core/jobs/stalls.py
@@ -8,14 +8,10 @@
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
+from mimosaridge_core.jobs import timing
 
-# A worker whose runs all show no progress for this long stands still, seconds:
-# twice what a run needs to restore its checkpoint would be 1.2.
-STALL_S = 1.2
 # A run of a long task shows one hundredth of it at a time; so many must pass.
 STEPS_OF_PROGRESS = 3
-# Runs that are young or that restore a checkpoint show none, seconds.
-YOUNG_S = 0.8
 # A worker is slow below this share of the declared speed: estimates are half
 # wrong at most, and remote data costs half as much again.
 SLOW_SPEED = 0.3
@@ -45,7 +41,7 @@
         group = owner.groups.get(run.task_id.rpartition(".")[0])
         if group is None or group.step.standing:
             continue
-        is_young = st.now - run.started_at < YOUNG_S
+        is_young = st.now - run.started_at < timing.young_s(st.bounds)
         waits = group.step.gang and run.percent <= 0
         if run.phase == state.Phase.RUNNING and not is_young and not waits:
             found.append((run, group))
@@ -102,7 +98,8 @@
         return
     shortest = min(group.step.estimate_s for _, group in movers)
     still_s = st.now - worker.moved_at
-    is_still = still_s > STALL_S + STEPS_OF_PROGRESS * shortest / 100
+    longest_s = timing.stall_s(st.bounds) + STEPS_OF_PROGRESS * shortest / 100
+    is_still = still_s > longest_s
     jobs = {group.job_id for _, group in movers}
     is_slow = worker.speed < SLOW_SPEED and len(jobs) >= SLOW_JOBS
     if not is_still and not is_slow:
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -284,6 +284,7 @@
         table: Jobs by id.
         entries: Entries of the list of workers.
         askers: Daemons that can ask for advice.
+        bounds: The platform's time limits.
         owner: What the owner knows; None if this daemon is not the owner.
     """
 
@@ -296,4 +297,5 @@
         default_factory=dict
     )
     askers: frozenset[str] = frozenset()
+    bounds: model.Bounds = model.Bounds()
     owner: Owner | None = None
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -1,5 +1,7 @@
 """The table of jobs that every daemon keeps, and what operators have set."""
 
+import dataclasses
+
 from mimosaridge_core.jobs import dispatch
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
@@ -27,6 +29,20 @@
     )
 
 
+@dispatch.handles(events.BoundsChanged)
+def change_bounds(
+    st: state.State, event: events.BoundsChanged, out: list
+) -> None:
+    """Puts time limits in force.
+
+    The lease is never taken as shorter than it was: workers may still grant
+    what was asked for before.
+    """
+    longest_s = max(event.bounds.longest_lease_s, st.bounds.longest_lease_s)
+    st.bounds = dataclasses.replace(event.bounds, longest_lease_s=longest_s)
+    effects.note(out, "bounds", **dataclasses.asdict(st.bounds))
+
+
 @dispatch.handles(events.ZonesOutChanged)
 def change_zones_out(
     st: state.State, event: events.ZonesOutChanged, out: list
--- a/packages/core/mimosaridge_core/jobs/tunables.py
+++ b/packages/core/mimosaridge_core/jobs/tunables.py
@@ -1,7 +1,7 @@
 """Constants of the job scheduler, with units and sources."""
 
-# Lease asked for: below the users' bound (maxHoldMs, 6 s), for a crashed
-# worker's tasks wait for its end; above the 2.5 s that a change of owner takes.
+# Lease asked for, if the platform grants as much: a crashed worker's tasks wait
+# for its end; above the 2.5 s that a change of owner takes.
 LEASE_S = 4.0
 # A worker's steady clock may be this much slow (users' protocol page).
 CLOCK_SLOWNESS = 0.02
@@ -9,8 +9,10 @@
 LEASE_MARGIN_S = 0.2
 # A displaced owner hears of it from some worker within this time: one hold.
 DISPLACED_OWNER_S = 2.0
-# A hold waits this long for an end; three holds fit into a lease.
+# A hold waits this long for an end, less if the lease is short.
 HOLD_WAIT_MS = 1200
+# So many holds fit into a lease: one may be lost, the next one renews it.
+HOLDS_PER_LEASE = 3
 # While answers get lost, holds wait shorter: a lost one hides ends until then.
 LOSSY_WAIT_MS = 300
 # Answers count as getting lost for this long after a hold had none.
@@ -30,8 +32,8 @@
 # Most jobs in one write: the store takes 32 entries; each job needs two, the
 # claim one, the fleet two.
 JOBS_PER_WRITE = 14
-# Finished jobs are kept this long (users' bound status_s, 120 s) and a margin.
-KEEP_FINISHED_S = 140.0
+# Finished jobs are kept this much longer than callers may ask for them.
+KEEP_MARGIN_S = 20.0
 # A worker that fails its calls rests this long before it is used again.
 UNHEALTHY_REST_S = 1.0
 # Failures in a row after which a worker rests, and its longest rest.
--- a/packages/core/mimosaridge_core/jobs/writing.py
+++ b/packages/core/mimosaridge_core/jobs/writing.py
@@ -6,6 +6,7 @@
 from mimosaridge_core.jobs import fleets
 from mimosaridge_core.jobs import holding
 from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import timing
 from mimosaridge_core.jobs import tunables
 from mimosaridge_core.jobs import work
 
@@ -76,7 +77,7 @@
     old = [
         job
         for job, at in owner.finished.items()
-        if at < st.now - tunables.KEEP_FINISHED_S
+        if at < st.now - timing.keep_finished_s(st.bounds)
     ]
     return tuple(old[:REMOVED_PER_WRITE])
 
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -11,6 +11,7 @@
 
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import reducer
 from mimosaridge_core.jobs import state
 from mimosaridge_daemon.jobs import documents
@@ -70,7 +71,9 @@
         self.boot = uuid.uuid4().hex[:12]
         self.url = f"ws://{around.ip}:{around.peer_port}"
         self.inbox: queue.Queue = queue.Queue()
-        self.state = state.State(now=time.monotonic(), wall=time.time())
+        self.state = state.State(
+            now=time.monotonic(), wall=time.time(), bounds=around.bounds
+        )
         self.draining = False
         self.store = storage.Store(around.store)
         self.store_timeout_s = storage.TIMEOUT_S
@@ -155,6 +158,10 @@
         """Logs a decision that the reducer did not make."""
         telemetry.write_decision(effects.Decision(rule, "", "", fields))
 
+    def put_in_force(self, bounds: model.Bounds) -> None:
+        """Puts changed time limits in force."""
+        self.post(events.BoundsChanged(time.monotonic(), bounds))
+
     def is_ready(self) -> bool:
         """Tells whether callers should be sent here."""
         return (
--- a/packages/daemon/mimosaridge_daemon/jobs/main.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/main.py
@@ -13,6 +13,7 @@
 from mimosaridge_daemon import serving
 from mimosaridge_daemon.jobs import engine as engines
 from mimosaridge_daemon.jobs import front
+from mimosaridge_daemon.jobs import reloading
 from mimosaridge_daemon.jobs import telemetry
 from mimosaridge_platform import surroundings
 
@@ -21,8 +22,8 @@
 # The balancer asks each second and stops sending after two misses; requests
 # already on their way are served after that.
 LEAVE_S = 2.6
-# What is left of the time until SIGKILL, for answers under way.
-LAST_ANSWERS_S = 2.5
+# Before SIGKILL: the last answers and log lines must be written.
+KILL_MARGIN_S = 0.9
 CHECK_S = 0.02
 METRICS_PORT = 9464
 # All daemons of a deployment share it; the platform's network is closed.
@@ -80,7 +81,9 @@
     ended = gevent_event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, ended.set)
-    gevent.signal_handler(signal.SIGHUP, _reload)
+    reloader = reloading.Reloader(around, engine.put_in_force)
+    gevent.signal_handler(signal.SIGHUP, reloader.reload, "signal")
+    gevent.spawn(reloader.run)
     gevent.spawn(handler.run)
     engine.start()
     for server in servers:
@@ -88,21 +91,17 @@
     LOG.notice("started", extra={"boot": engine.boot, "zone": around.zone})
     ended.wait()
     LOG.notice("stopping", extra={"open": answers.open})
+    left_s = max(0.0, engine.state.bounds.grace_s - KILL_MARGIN_S)
+    deadline = time.monotonic() + left_s
     engine.leave()
-    gevent.sleep(LEAVE_S)
+    gevent.sleep(min(LEAVE_S, left_s / 2))
     answers.closing = True
-    deadline = time.monotonic() + LAST_ANSWERS_S
     while time.monotonic() < deadline and answers.open:
         gevent.sleep(CHECK_S)
     LOG.notice("stopped", extra={"open": answers.open})
     handler.flush_lines()
 
 
-def _reload() -> None:
-    """Addresses and bounds stay as they were at the start."""
-    LOG.notice("reload: nothing in the settings changes a running daemon")
-
-
 def main() -> None:
     """Entry point."""
     fire.Fire(run, name="mimosaridge")
--- a/packages/daemon/mimosaridge_daemon/pages.py
+++ b/packages/daemon/mimosaridge_daemon/pages.py
@@ -28,10 +28,13 @@
 name all fields, unknown ones are ignored). It needs `nodeName`, `ip`, `zone`,
 `listenAddresses.front`, `listenAddresses.readiness`, `internalPortRange`
 (peers use the first port) and `platform.address`; it uses `recommendation` if
-it is there. `seedNodes` and `bounds.*` are checked and not used yet: leases,
-waits and the time to leave are constants that suit the bounds of the two
-sites. A missing or malformed field ends the start with exit code 2 and names
-the field. Everything else is a constant with its unit and source in
+it is there. Of the time limits it uses `bounds.maxHoldMs`, `stopTimeoutMs`,
+`restoreMs`, `status_s` and `graceS` (`mimosaridge_core/jobs/timing.py`).
+`seedNodes` is read and not used yet. Missing or malformed fields end the start
+with exit code 2 and are named. The file is read again at SIGHUP and within a
+second of a change: the line `reload` names what changed; time limits count at
+once, the rest from the next start; a file that can't be used changes nothing
+(`reload refused`). Everything else is a constant with its unit and source in
 `mimosaridge_core/jobs/tunables.py` or beside its use. Metrics are answered on
 port 9464.
 """
--- a/standins/mimosaridge_fakes/jobworkers.py
+++ b/standins/mimosaridge_fakes/jobworkers.py
@@ -42,6 +42,7 @@
         advanced_at: When time last passed for it.
         ended: Ends not yet taken note of.
         closed: Highest run stopped or ended, by task.
+        longest_lease_s: Longest lease that it grants.
     """
 
     entry: model.WorkerEntry
@@ -57,6 +58,7 @@
     ends: int = 0
     is_hanging: bool = False
     advanced_at: float = 0.0
+    longest_lease_s: float = 6.0
 
     def used(self) -> resources.Resources:
         """Returns what its runs use."""
@@ -84,6 +86,10 @@
             model.EndRow(self.ends, run.task_id, run.run, how, "")
         )
 
+    def granted(self, order: effects.Hold, now: float) -> float:
+        """Returns the end of the lease that it grants."""
+        return min(order.lease_until_ms / 1000, now + self.longest_lease_s)
+
     def hold(
         self, order: effects.Hold, now: float
     ) -> tuple[events.CallResult, tuple, tuple]:
@@ -91,8 +97,7 @@
         if order.token < self.token:
             return events.CallResult.FENCED, (), ()
         self.token = order.token
-        until = order.lease_until_ms / 1000
-        self.lease_until = max(self.lease_until, until)
+        self.lease_until = max(self.lease_until, self.granted(order, now))
         self.ended = [row for row in self.ended if row.number > order.noted]
         running = tuple(
             model.RunRow(run.task_id, run.run, "", run.percent(now))
--- a/standins/mimosaridge_fakes/jobworlds.py
+++ b/standins/mimosaridge_fakes/jobworlds.py
@@ -264,6 +264,9 @@
             worker.advance(self.now)
             self._note_ends(worker)
             self._take_hold(worker, order)
+            # The answer is made from the same order, and grants no more.
+            until = worker.granted(order, self.now)
+            order.lease_until_ms = int(until * 1000)
 
     def _take_hold(
         self, worker: jobworkers.Worker, order: effects.Hold
--- /dev/null
+++ b/tests/daemon/jobs/test_reloading.py
@@ -0,0 +1,56 @@
+"""The settings file is read again."""
+
+import os
+import tempfile
+
+import testtools
+
+from mimosaridge_daemon.jobs import reloading
+from mimosaridge_platform import surroundings
+
+SETTINGS = """\
+nodeName=front-1
+ip=10.1.0.5
+zone=a
+listenAddresses.front=10.1.0.5:8686
+listenAddresses.readiness=10.1.0.5:8689
+internalPortRange=7180,7195
+platform.address=10.200.1.7:8683
+bounds.stopTimeoutMs=900
+"""
+
+
+class ReloadingTest(testtools.TestCase):
+    """Reloads by signal and by a change of the file."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = os.path.join(folder.name, "local.conf")
+        self._write(SETTINGS)
+        os.environ[surroundings.PATH_VARIABLE] = self.path
+        self.addCleanup(os.environ.pop, surroundings.PATH_VARIABLE)
+        self.bounds = []
+        self.reloader = reloading.Reloader(
+            surroundings.load(), self.bounds.append
+        )
+
+    def _write(self, text):
+        with open(self.path, "w", encoding="utf-8") as file:
+            file.write(text)
+
+    def test_changed_limits_are_put_in_force(self):
+        self._write(SETTINGS.replace("900", "400"))
+        self.reloader.reload("signal")
+        self.assertEqual([0.4], [one.stop_s for one in self.bounds])
+
+    def test_an_unchanged_file_changes_nothing(self):
+        self.reloader.reload("signal")
+        self.assertEqual([], self.bounds)
+
+    def test_a_file_that_cannot_be_used_changes_nothing(self):
+        self._write(SETTINGS.replace("zone=a\n", ""))
+        self.reloader.reload("signal")
+        self.assertEqual([], self.bounds)
+        self.assertEqual("a", self.reloader.around.zone)
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -56,7 +56,7 @@
         self.assertEqual("10.1.0.5:8686", around.front)
         self.assertEqual(7180, around.peer_port)
         self.assertEqual(("10.1.0.5", "10.2.0.25"), around.seeds)
-        self.assertEqual(6000, around.bounds.lease_ms)
+        self.assertEqual(6.0, around.bounds.longest_lease_s)
 
     def test_a_missing_field_is_named(self):
         text = SETTINGS.replace("zone=a\n", "")
@@ -67,6 +67,27 @@
         )
         self.assertIn("zone", str(error))
 
+    def test_all_missing_fields_are_named_at_once(self):
+        error = self.assertRaises(
+            surroundings.InvalidError, surroundings.decode, {"zone": "a"}
+        )
+        for name in ("nodeName", "ip", "platform.address"):
+            self.assertIn(name, str(error))
+
+    def test_time_limits_are_read_in_seconds(self):
+        text = SETTINGS + "bounds.graceS=3\nbounds.stopTimeoutMs=400\n"
+        around = surroundings.decode(surroundings.parse(text))
+        self.assertEqual(3.0, around.bounds.grace_s)
+        self.assertEqual(0.4, around.bounds.stop_s)
+
+    def test_a_limit_that_is_no_time_is_refused(self):
+        text = SETTINGS.replace("maxHoldMs=6000", "maxHoldMs=-1")
+        self.assertRaises(
+            surroundings.InvalidError,
+            surroundings.decode,
+            surroundings.parse(text),
+        )
+
 
 class StoreTest(testtools.TestCase):
     """Calls of the store."""
