--- a/packages/core/mimosaridge_core/placing.py
+++ b/packages/core/mimosaridge_core/placing.py
@@ -1,5 +1,7 @@
 """What homes ask of the owner of a shard."""
 
+import dataclasses
+
 from mimosaridge_core import buckets
 from mimosaridge_core import codes
 from mimosaridge_core import dispatch
@@ -47,6 +49,9 @@
     """Answers a message about a task that is known already."""
     if shard.taken.covers(*key):
         return True
+    if key in shard.ended and not _restate(shard, key):
+        del shard.ended[key]
+        return False
     if key in shard.ended:
         shard.ended[key].resend_at = st.now
         return True
@@ -60,6 +65,23 @@
     return key in shard.queue.waiting
 
 
+def _restate(shard: state.Shard, key: state.TaskKey) -> bool:
+    """Brings an end that was found under an earlier epoch under today's.
+
+    A home takes only from the owner that its ledger names that a task did not
+    run or that its fate is unknown. That it ran is true under any epoch, and
+    that its fate is unknown stays so. That it did not run must be found anew:
+    another owner may have started it in between.
+    """
+    update = shard.ended[key].update
+    if update.epoch == shard.epoch:
+        return True
+    if update.phase == works.Phase.NOT_RUN:
+        return False
+    shard.ended[key].update = dataclasses.replace(update, epoch=shard.epoch)
+    return True
+
+
 def _enqueue(
     st: state.State,
     shard: state.Shard,
