Let a daemon on a stronger machine be the owner

Cause: any daemon became the owner. On the grown sites 26 to 29 of 35 machines give 0.516 core and 5 Mbit/s, and an owner of 176 workers was measured at 0.40 core (docs/CAPACITY.md). A beat tells what its machine gives (limits.cpuShare x limits.cores). While a peer with the store and 1.5 times as many cores is heard, a daemon claims 0.4 s later; an owner yields to such a peer after 2 s, and each time in vain four times later. Ruled out: memory and link as further measures; on both grown sites they go with the cores. Tests: FitnessTest (five cases, new code).

--- a/packages/core/mimosaridge_core/jobs/election.py
+++ b/packages/core/mimosaridge_core/jobs/election.py
@@ -14,6 +14,17 @@
 SPREAD_S = 0.15
 # An owner that reaches the store by no way for this long is replaced.
 OWNER_STORELESS_S = 2.0
+# A machine this many times as strong is fitter: machines of one kind differ by
+# a few hundredths, and each change of owner costs a pause.
+FITTER_FACTOR = 1.5
+# While a fitter daemon is heard, others wait this much longer to claim: a claim
+# takes 10 ms and the fitter one waits `SPREAD_S` at most.
+HANDICAP_S = 0.4
+# An owner yields to a fitter daemon once it has owned for this long: long
+# enough to have heard all daemons of a fleet that starts together.
+YIELD_AFTER_S = 2.0
+# Each time it yields in vain, the wait for the next time grows by this factor.
+YIELD_BACKOFF = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,6 +53,11 @@
     is_gone: bool = False
 
 
+def is_fitter(cores: float, own_cores: float) -> bool:
+    """Tells whether another machine should rather carry the owner."""
+    return cores > FITTER_FACTOR * own_cores
+
+
 def should_claim(
     view: View, name: str, boot: str, now: float, answering_since: float = 0.0
 ) -> bool:
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -10,6 +10,7 @@
 import logbook
 
 from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import election
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import reducer
@@ -89,7 +90,12 @@
         )
         self.store.relay = self.peering.relay
         self.owning = owning.Owning(
-            around.name, self.boot, self.store, self._claimed, self._lost
+            around.name,
+            self.boot,
+            self.store,
+            self._claimed,
+            self._lost,
+            self._has_fitter_peer,
         )
         self.recorder = recording.Recorder(
             self.store, self.post, self.owning.resign, self._stored
@@ -181,11 +187,18 @@
         """Gives ownership up, to let a peer take over at once."""
         self.draining = True
         self.owning.leaving = True
+        self._hand_over("this daemon leaves")
+
+    def _hand_over(self, reason: str) -> None:
         token = self.owning.token
         if token:
-            self.owning.resign(token, "this daemon leaves")
+            self.owning.give_up(token, reason)
             self.peering.broadcast(messages.Leaving(token))
 
+    def _has_fitter_peer(self) -> bool:
+        cores = self.peering.most_cores()
+        return election.is_fitter(cores, self.around.cores)
+
     def _run(self) -> None:
         """Handles what has come, then decides at once what follows from it."""
         while True:
@@ -234,8 +247,11 @@
                     self.owning.token,
                     self.owning.view.revision,
                     self.owning.owner_age_s(),
+                    self.around.cores,
                 )
             )
+            if self.owning.should_yield():
+                self._hand_over("a fitter daemon is heard")
             gevent.sleep(OWNER_BEAT_S if self.owning.token else BEAT_S)
 
     def _register(self) -> None:
--- a/packages/daemon/mimosaridge_daemon/jobs/messages.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/messages.py
@@ -18,6 +18,7 @@
         token: Its token if it is the owner, else 0.
         owner_token: Token of the owner that it heard last.
         owner_age_s: How long ago that was, seconds.
+        cores: Processor time that its machine gives, in cores.
     """
 
     name: str
@@ -28,6 +29,7 @@
     token: int
     owner_token: int
     owner_age_s: float
+    cores: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -50,12 +50,15 @@
         store: storage.Store,
         claimed: Callable[[int, bool], None],
         lost: Callable[[int, str], None],
+        has_fitter_peer: Callable[[], bool],
     ) -> None:
         self.name = name
         self.boot = boot
         self.store = store
         self.claimed = claimed
         self.lost = lost
+        self.has_fitter_peer = has_fitter_peer
+        self.yield_after_s = election.YIELD_AFTER_S
         self.view = election.View()
         self.token = 0
         self.number = 0
@@ -99,6 +102,25 @@
             self.token = 0
             self.lost(token, reason)
 
+    def should_yield(self) -> bool:
+        """Tells whether a fitter daemon should be the owner instead."""
+        owned_s = time.monotonic() - self.view.heard_at
+        return (
+            self.token > 0
+            and owned_s > self.yield_after_s
+            and self.has_fitter_peer()
+        )
+
+    def give_up(self, token: int, reason: str) -> None:
+        """Resigns, and claims again only if no other daemon does.
+
+        Should it be the owner again, it yields later: the fitter daemon may
+        not be able to claim.
+        """
+        self.yield_after_s *= election.YIELD_BACKOFF
+        self.resign(token, reason)
+        self.view.is_gone = True
+
     def hear(self, beat: messages.Beat) -> None:
         """Takes a daemon's beat."""
         view, now = self.view, time.monotonic()
@@ -145,7 +167,10 @@
                 continue
             if not self._should_claim():
                 continue
-            gevent.sleep(self.rng.uniform(0.0, election.SPREAD_S))
+            wait_s = self.rng.uniform(0.0, election.SPREAD_S)
+            if self.has_fitter_peer():
+                wait_s += election.HANDICAP_S
+            gevent.sleep(wait_s)
             if self._should_claim() and not self.leaving:
                 self.try_to_claim()
 
--- a/packages/daemon/mimosaridge_daemon/jobs/peering.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/peering.py
@@ -39,12 +39,14 @@
         boot: Id of its process as it last said.
         heard_at: When it was last heard.
         has_store: Whether it reaches the store by itself.
+        cores: Processor time that its machine gives, in cores.
     """
 
     url: str
     boot: str = ""
     heard_at: float = 0.0
     has_store: bool = False
+    cores: float = 0.0
 
 
 class Peering:
@@ -111,6 +113,18 @@
         }
         return frozenset(names | {self.name})
 
+    def most_cores(self) -> float:
+        """Returns what the strongest peer that has the store gives."""
+        now = time.monotonic()
+        return max(
+            (
+                peer.cores
+                for peer in self.peers.values()
+                if peer.has_store and now - peer.heard_at < SILENCE_S
+            ),
+            default=0.0,
+        )
+
     def relay(
         self, request: calls.Request, timeout_s: float
     ) -> storage.Answer | None:
@@ -186,6 +200,7 @@
             peer.boot = beat.boot
             peer.heard_at = time.monotonic()
             peer.has_store = beat.has_store
+            peer.cores = beat.cores
 
     def _answer(self, sender: str, call: messages.RelayCall) -> None:
         request = calls.Request(call.method, call.path, call.body)
--- a/tests/daemon/jobs/test_owning.py
+++ b/tests/daemon/jobs/test_owning.py
@@ -28,7 +28,7 @@
         return self.answers.pop(0)
 
 
-def _owning(*answers):
+def _owning(*answers, fitter=False):
     claimed, lost = [], []
     made = owning.Owning(
         "a",
@@ -36,6 +36,7 @@
         FakeStore(*answers),
         lambda token, gone: claimed.append((token, gone)),
         lambda token, reason: lost.append(token),
+        lambda: fitter,
     )
     return made, claimed, lost
 
@@ -165,3 +166,41 @@
         self.assertLess(time.monotonic() - made.view.heard_at, 1.0)
         made.hear(_beat("b", boot="boot-b2"))
         self.assertTrue(made.view.is_gone)
+
+
+class FitnessTest(testtools.TestCase):
+    """Owners on machines that can hold them."""
+
+    def _owner(self, fitter):
+        made, _, lost = _owning(
+            result.Ok((200, b'{"revision":9}')), fitter=fitter
+        )
+        made.read(None)
+        made._claim()
+        made.view.heard_at -= election.YIELD_AFTER_S + 1
+        return made, lost
+
+    def test_a_machine_that_is_hardly_stronger_is_not_fitter(self):
+        self.assertFalse(election.is_fitter(1.1, 1.0))
+        self.assertTrue(election.is_fitter(2.15, 0.516))
+
+    def test_an_owner_yields_to_a_fitter_daemon(self):
+        made, _ = self._owner(fitter=True)
+        self.assertTrue(made.should_yield())
+
+    def test_an_owner_that_no_one_is_fitter_than_stays(self):
+        made, _ = self._owner(fitter=False)
+        self.assertFalse(made.should_yield())
+
+    def test_who_yielded_claims_again_if_no_one_else_does(self):
+        made, lost = self._owner(fitter=True)
+        made.give_up(9, "a fitter daemon is heard")
+        self.assertEqual([9], lost)
+        self.assertTrue(made._should_claim())
+
+    def test_who_yielded_in_vain_yields_later(self):
+        made, _ = self._owner(fitter=True)
+        made.give_up(9, "a fitter daemon is heard")
+        made._take(11)
+        made.view.heard_at -= election.YIELD_AFTER_S + 1
+        self.assertFalse(made.should_yield())
--- a/tests/daemon/jobs/test_reading.py
+++ b/tests/daemon/jobs/test_reading.py
@@ -46,7 +46,12 @@
 def _reader():
     posted = []
     claims = owning.Owning(
-        "a", "boot", None, lambda *args: None, lambda *args: None
+        "a",
+        "boot",
+        None,
+        lambda *args: None,
+        lambda *args: None,
+        lambda: False,
     )
     peers = FakePeers()
     made = reading.Reader(posted.append, claims, peers, FakeRecorder())
