Lock the ports that a test gives out

Cause: one of 18 deployments that were started beside others was not ready: its workers' stand-in found its port taken (errno 98 in its log); the other test's process took the port between the probe and the bind.

--- a/standins/mimosaridge_standins/deployments.py
+++ b/standins/mimosaridge_standins/deployments.py
@@ -1,5 +1,6 @@
 """Starts a whole deployment on this machine and ends it again."""
 
+import fcntl
 import json
 import os
 import pathlib
@@ -21,16 +22,34 @@
 STOP_S = 10.0
 FIRST_PORT = 15_000
 LAST_PORT = 32_000
+# Open for as long as this process lives.
+PORT_LOCKS: list = []
+
+
+def _lock(port: int) -> bool:
+    """Tells whether this process alone may give a port out."""
+    path = pathlib.Path(tempfile.gettempdir()) / f"mimosaridge-port-{port}"
+    file = open(path, "w")  # noqa: SIM115
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        file.close()
+        return False
+    PORT_LOCKS.append(file)
+    return True
 
 
 def free_port() -> int:
     """Returns a loopback port that is free now.
 
     Ports that the kernel gives to outgoing connections are avoided: one of
-    those may be taken again before a process listens on it.
+    those may be taken again before a process listens on it. A lock on a file,
+    kept until this process ends, keeps other tests from taking it meanwhile.
     """
     while True:
         port = random.randrange(FIRST_PORT, LAST_PORT)
+        if not _lock(port):
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
