Preempt runs that save their progress for urgent tasks that would be late

If a step can't be placed whole, its latest start (less the time of a stop) has come, and it is not late anyway, runs of a lower priority are stopped on its good workers, the fewest first: only those that save at a stop, are no gang, and whose job could start 6 s later and meet its objective. Ruled out: room kept free for the urgent queue (failed try, docs/design/0060).

--- a/packages/core/mimosaridge_core/jobs/placing.py
+++ b/packages/core/mimosaridge_core/jobs/placing.py
@@ -8,6 +8,8 @@
 from mimosaridge_core.jobs import fleets
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import preempting
+from mimosaridge_core.jobs import ranking
 from mimosaridge_core.jobs import runs
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import tunables
@@ -15,8 +17,6 @@
 
 # Runs of one owner; the next owner's numbers are higher, for its token is.
 RUNS_PER_OWNER = 1_000_000
-# Declared run times are half too high or too low (users' site pages).
-ESTIMATE_TRUST = 0.7
 # A task that needs this share of a worker has room kept for it.
 LARGE_SHARE = 0.3
 
@@ -42,7 +42,7 @@
     if not waiting:
         return
     ranked = sorted(
-        (rank(st, owner, group), group.key, group) for group in waiting
+        (ranking.rank(st, owner, group), group.key, group) for group in waiting
     )
     current = Pass(_usable(st, owner))
     for _, _, group in ranked:
@@ -50,30 +50,6 @@
             _place_group(st, owner, current, group, out)
 
 
-def rank(st: state.State, owner: state.Owner, group: state.Group) -> tuple:
-    """Returns a sort key; the least goes first.
-
-    Jobs within their team's weight go before all that is beyond one. Within a
-    priority: jobs that can still meet their objective, then the latest start
-    that meets it.
-    """
-    entry = st.table[group.job_id]
-    queue = st.configuration.queues.get(entry.job.queue)
-    if queue is None:
-        return (True, 1_000, True, group.ready_at)
-    chain = max(
-        work.chain_s(entry.job, number)
-        for number in range(len(entry.job.steps))
-    )
-    left = work.chain_s(entry.job, group.number)
-    due = work.due_at(entry.job, group.repetition)
-    objective = due + queue.stretch * chain + queue.target_s
-    latest = objective - left
-    is_late = st.wall > objective - left * ESTIMATE_TRUST
-    beyond = group.job_id in owner.beyond
-    return (beyond, queue.priority, is_late, latest)
-
-
 def _usable(
     st: state.State, owner: state.Owner
 ) -> dict[str, list[state.Worker]]:
@@ -137,6 +113,8 @@
         if advice is not None:
             _ask(st, owner, group, advice, workers, out)
         _keep_room(current, group, workers)
+        if not group.step.gang:
+            preempting.make_room(st, owner, group, fit, out)
 
 
 def _gang_size(group: state.Group) -> int:
@@ -293,14 +271,7 @@
 
 def _may_add(group: state.Group, worker_id: str) -> bool:
     most = group.step.most_per_worker
-    if not most:
-        return True
-    there = sum(
-        run.worker_id == worker_id
-        for started in group.runs.values()
-        for run in started
-    )
-    return there < most
+    return not most or work.tasks_on(group, worker_id) < most
 
 
 def _place_gang(
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -87,6 +87,8 @@
         lease_asked: Whether a hold of this owner has asked for a lease.
         closed_jobs: Jobs that it may run since it gets no more starts; None
             if it gets them.
+        ends_counted: Ends of its lives, earlier ones counted for less.
+        ended_at: When a life of it ended last.
     """
 
     entry: model.WorkerEntry
@@ -115,6 +117,8 @@
     lost_at: float = 0.0
     lease_asked: bool = False
     closed_jobs: tuple[str, ...] | None = None
+    ends_counted: float = 0.0
+    ended_at: float = 0.0
 
     @property
     def rack(self) -> str:
@@ -148,6 +152,7 @@
         asking: Workers that were asked about, until when.
         ask_after: No new call for advice before that time.
         retry_at: No start before that time.
+        preempt_after: No run is stopped for it before that time.
         failed_on: Workers on which a task failed, by index.
     """
 
@@ -164,6 +169,7 @@
     asking: dict[str, float] = dataclasses.field(default_factory=dict)
     ask_after: float = 0.0
     retry_at: float = 0.0
+    preempt_after: float = 0.0
     failed_on: dict[int, set[str]] = dataclasses.field(default_factory=dict)
 
     @property
--- a/packages/core/mimosaridge_core/jobs/work.py
+++ b/packages/core/mimosaridge_core/jobs/work.py
@@ -235,6 +235,15 @@
     return len(failed.get(index, ()))
 
 
+def tasks_on(group: state.Group, worker_id: str) -> int:
+    """Returns how many of a step's tasks a worker has."""
+    return sum(
+        run.worker_id == worker_id
+        for started in group.runs.values()
+        for run in started
+    )
+
+
 def room_needs(step: model.Step) -> resources.Resources:
     """Returns what a task counts for against its worker's capacity."""
     if not step.fills:
--- a/standins/mimosaridge_fakes/jobworlds.py
+++ b/standins/mimosaridge_fakes/jobworlds.py
@@ -123,6 +123,14 @@
         worker.is_up = False
         worker.running.clear()
 
+    def restart_worker(self, worker_id: str) -> None:
+        """Ends a worker's life and begins another under the same id."""
+        old = self.workers[worker_id].entry
+        entry = dataclasses.replace(old, born=old.born + 1)
+        self.workers[worker_id] = jobworkers.Worker(entry)
+        for number in range(len(self.daemons)):
+            self.tell(number, events.WorkerChanged(self.now, worker_id, entry))
+
     def drain_worker(self, worker_id: str, remaining_s: float = 2.0) -> None:
         """Lists a worker as leaving."""
         worker = self.workers[worker_id]
@@ -139,11 +147,17 @@
         for number in range(len(self.daemons)):
             self.tell(number, events.WorkerChanged(self.now, worker_id, None))
 
-    def submit(self, job_id: str, *steps: model.Step, **more: object) -> None:
+    def submit(
+        self,
+        job_id: str,
+        *steps: model.Step,
+        queue: str = QUEUE,
+        **more: object,
+    ) -> None:
         """Stores a job and tells all daemons."""
         self.revision += 1
         job = model.Job(
-            job_id, QUEUE, BACKEND, "a", "text", steps, self.now, **more
+            job_id, queue, BACKEND, "a", "text", steps, self.now, **more
         )
         self.jobs[job_id] = (job, self.revision)
         for number in range(len(self.daemons)):
