Give no starts for a while to workers that end and come back by turns

Cause: a new life of a worker cleared all that was known against it, so a worker that goes down and up every second or so (srv_flap) got tasks at each return and lost them.

--- a/packages/core/mimosaridge_core/jobs/holding.py
+++ b/packages/core/mimosaridge_core/jobs/holding.py
@@ -5,6 +5,7 @@
 from mimosaridge_core.jobs import dispatch
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import flapping
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import resigning
@@ -92,6 +93,7 @@
     """All that ran in a worker's former life is gone."""
     for run in list(worker.runs.values()):
         runs.vanish(st, owner, worker, run, out)
+    was_held = worker.held
     worker.held = False
     worker.processed = 0
     worker.noted = 0
@@ -103,6 +105,8 @@
     worker.rests_until = 0.0
     worker.speed = 1.0
     worker.life += 1
+    if was_held:
+        flapping.note_end(st, worker, out)
     worker.closed_jobs = None
     owner.unheld.pop(worker.entry.worker_id, None)
     for group in owner.groups.values():
