Spend less of the owner's processor time on passes that can't place anything

A pass is made only if room has come, a step is new or was advised, or 50 ms have passed; usable workers are one set a pass; workers to ask about are chosen only if a call may be made; unanswered stops are looked for every 100 ms; a start that was answered well has no second line ('start' tells it).

--- a/packages/core/mimosaridge_core/jobs/advising.py
+++ b/packages/core/mimosaridge_core/jobs/advising.py
@@ -12,6 +12,17 @@
 # With this many daemons or more, some are kept free of slow calls.
 DAEMONS_TO_KEEP_FREE = 4
 KEPT_FREE = 1
+# With nothing to ask about, a step is looked at again after this time, seconds:
+# tickets are renewed `RENEWAL_LEAD_S` before their end.
+ASK_AGAIN_S = 0.1
+
+
+def may_ask(st: state.State, owner: state.Owner, group: state.Group) -> bool:
+    """Tells whether a call may be made now, before workers are chosen."""
+    if st.now < group.ask_after:
+        return False
+    busy = sum(until > st.now for until in owner.advice_busy.values())
+    return busy < len(st.askers)
 
 
 def call_s(advice: model.Advice, workers: int) -> float:
@@ -47,8 +58,6 @@
         workers: Workers that could run the step, the preferred first.
         out: Effects.
     """
-    if st.now < group.ask_after:
-        return
     known = group.tickets.keys() | group.unfit
     asked = [
         worker_id
@@ -59,6 +68,7 @@
         asked = _renewals(st, group, advice, workers)
     asked = asked[: tunables.ADVICE_WORKERS]
     if not asked:
+        group.ask_after = st.now + ASK_AGAIN_S
         return
     takes_s = call_s(advice, len(asked))
     asker = _idle_asker(st, owner, takes_s > SLOW_CALL_S)
@@ -144,3 +154,5 @@
             )
         elif worker_id not in group.tickets:
             group.unfit.add(worker_id)
+    group.ask_after = 0.0
+    group.looked_room = state.NEVER_LOOKED
--- a/packages/core/mimosaridge_core/jobs/fleets.py
+++ b/packages/core/mimosaridge_core/jobs/fleets.py
@@ -57,14 +57,14 @@
     return False
 
 
-def is_usable(owner: state.Owner, worker_id: str) -> bool:
-    """Tells whether the store surely says that a worker gets starts.
+def usable(owner: state.Owner) -> set[str]:
+    """Returns the workers that get starts, as the store surely says.
 
     A write without answer may have been made: what it says counts as well.
     """
     if owner.fleet is None:
-        return False
-    return all(
-        worker_id in fleet.workers and worker_id not in fleet.closed
-        for fleet in (owner.fleet, *owner.fleets_in_doubt)
-    )
+        return set()
+    found = set(owner.fleet.workers) - owner.fleet.closed.keys()
+    for fleet in owner.fleets_in_doubt:
+        found &= set(fleet.workers) - fleet.closed.keys()
+    return found
--- a/packages/core/mimosaridge_core/jobs/placing.py
+++ b/packages/core/mimosaridge_core/jobs/placing.py
@@ -17,6 +17,9 @@
 
 # Runs of one owner; the next owner's numbers are higher, for its token is.
 RUNS_PER_OWNER = 1_000_000
+# A step that found no room is tried again after this time even if nothing has
+# changed: tickets run out, workers have rested, objectives come near.
+LOOK_AGAIN_S = 0.05
 # A task that needs this share of a worker has room kept for it.
 LARGE_SHARE = 0.3
 
@@ -39,7 +42,7 @@
     if st.configuration is None:
         return
     waiting = [group for group in owner.groups.values() if group.waiting]
-    if not waiting:
+    if not any(_is_due(st, owner, group) for group in waiting):
         return
     ranked = sorted(
         (ranking.rank(st, owner, group), group.key, group) for group in waiting
@@ -48,12 +51,21 @@
     for _, _, group in ranked:
         if st.now >= group.retry_at:
             _place_group(st, owner, current, group, out)
+        group.looked_at, group.looked_room = st.now, owner.room
+
+
+def _is_due(st: state.State, owner: state.Owner, group: state.Group) -> bool:
+    """Tells whether trying to place a step may succeed since the last time."""
+    if group.looked_room != owner.room:
+        return True
+    return st.now - group.looked_at >= LOOK_AGAIN_S
 
 
 def _usable(
     st: state.State, owner: state.Owner
 ) -> dict[str, list[state.Worker]]:
     usable: dict[str, list[state.Worker]] = {}
+    stored = fleets.usable(owner)
     for worker in owner.workers.values():
         if (
             worker.held
@@ -62,7 +74,7 @@
             and not worker.unanswered
             and not worker.entry.draining
             and worker.entry.zone not in st.zones_out
-            and fleets.is_usable(owner, worker.entry.worker_id)
+            and worker.entry.worker_id in stored
             and st.now >= worker.rests_until
         ):
             usable.setdefault(worker.entry.backend, []).append(worker)
@@ -89,11 +101,13 @@
         return
     if group.step.gang and len(group.waiting) < _gang_size(group):
         return
-    workers = [
-        worker
-        for worker in current.workers.get(backend_of(st, entry), ())
-        if not group.step.label or group.step.label in worker.entry.labels
-    ]
+    workers = current.workers.get(backend_of(st, entry), [])
+    if group.step.label:
+        workers = [
+            worker
+            for worker in workers
+            if group.step.label in worker.entry.labels
+        ]
     if not workers:
         return
     queue = st.configuration.queues.get(entry.job.queue)
@@ -129,6 +143,8 @@
     workers: list[state.Worker],
     out: list,
 ) -> None:
+    if not advising.may_ask(st, owner, group):
+        return
     able = [
         worker
         for worker in workers
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -22,6 +22,7 @@
     """No longer counts a run."""
     if worker.runs.pop((run.task_id, run.run), None) is None:
         return
+    owner.room += 1
     worker.used = worker.used - run.needs
     owner.usage[run.team] = owner.usage[run.team] - run.needs
 
--- a/packages/core/mimosaridge_core/jobs/starting.py
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -13,6 +13,8 @@
 # Pause of a step after a worker refused one of its tasks, seconds: long
 # enough for the next list of that worker.
 REFUSED_PAUSE_S = 0.1
+# How often unanswered stops are looked for: a part of `STOP_RETRY_S`.
+STOPS_LOOK_S = 0.1
 
 
 @dispatch.handles(events.StartAnswered)
@@ -27,16 +29,17 @@
         return
     if run is None:
         return
-    effects.note(
-        out,
-        "start-answered",
-        job_id=event.task_id.partition(".")[0],
-        task_id=event.task_id,
-        run=event.run,
-        worker=event.worker_id,
-        result=event.result.value,
-        detail=event.detail,
-    )
+    if event.result != events.CallResult.DONE:
+        effects.note(
+            out,
+            "start-answered",
+            job_id=event.task_id.partition(".")[0],
+            task_id=event.task_id,
+            run=event.run,
+            worker=event.worker_id,
+            result=event.result.value,
+            detail=event.detail,
+        )
     if event.result == events.CallResult.DONE:
         if run.phase == state.Phase.STARTING:
             run.phase = state.Phase.RUNNING
@@ -86,6 +89,9 @@
 
 def check(st: state.State, owner: state.Owner, out: list) -> None:
     """Sends stops again that were not answered."""
+    if st.now - owner.stops_checked_at < STOPS_LOOK_S:
+        return
+    owner.stops_checked_at = st.now
     for worker in owner.workers.values():
         for run in worker.runs.values():
             stops = run.phase in (state.Phase.STOPPING, state.Phase.IN_DOUBT)
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -6,6 +6,9 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import model
 
+# A step that was not tried since something about it changed.
+NEVER_LOOKED = -1
+
 
 class Phase(enum.StrEnum):
     """Where a run stands."""
@@ -153,6 +156,8 @@
         ask_after: No new call for advice before that time.
         retry_at: No start before that time.
         preempt_after: No run is stopped for it before that time.
+        looked_at: When it was last tried to be placed.
+        looked_room: The owner's `room` then.
         failed_on: Workers on which a task failed, by index.
     """
 
@@ -170,6 +175,8 @@
     ask_after: float = 0.0
     retry_at: float = 0.0
     preempt_after: float = 0.0
+    looked_at: float = 0.0
+    looked_room: int = NEVER_LOOKED
     failed_on: dict[int, set[str]] = dataclasses.field(default_factory=dict)
 
     @property
@@ -243,6 +250,9 @@
         beyond: Jobs that came beyond their team's weight.
         timed: Unfinished jobs with repetitions.
         asked: How many calls for advice were made.
+        room: Grows whenever a step that waits may find room: a run is gone, a
+            worker or the configuration has changed.
+        stops_checked_at: When unanswered stops were last looked for.
     """
 
     token: int
@@ -276,6 +286,8 @@
     beyond: set[str] = dataclasses.field(default_factory=set)
     timed: set[str] = dataclasses.field(default_factory=set)
     asked: int = 0
+    room: int = 0
+    stops_checked_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
