In large fleets, beat to the owner and neighbours, tell news where a job came in

Cause: every daemon beat to all, and the owner told all of each stored state: messages grow with the square of the fleet. With more than 8 peers, daemons beat to the owner and to three neighbours on each side (what the owner's age is, they pass on); the owner's beats still go to all. Stored states go to the daemon that accepted the job, the others have their watch. Incoming links are pinged every 5 s; each outgoing one is still checked every second. How many cores a machine gives stands in the daemon's entry in the store too, for not all hear each other now. Fleets of up to 9 daemons: unchanged. Ruled out: fewer beats of the owner (they carry the detection of its death).

--- a/packages/daemon/mimosaridge_daemon/jobs/documents.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/documents.py
@@ -24,11 +24,13 @@
         name: Its machine.
         boot: Id of the process.
         url: Where peers reach it.
+        cores: Processor time that its machine gives, in cores.
     """
 
     name: str
     boot: str
     url: str
+    cores: float = 0.0
 
 
 def encode(value: object) -> bytes:
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -18,6 +18,7 @@
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import following
 from mimosaridge_daemon.jobs import messages
+from mimosaridge_daemon.jobs import origins
 from mimosaridge_daemon.jobs import owning
 from mimosaridge_daemon.jobs import peering
 from mimosaridge_daemon.jobs import reading
@@ -104,6 +105,7 @@
             self.post, self.owning, self.peering, self.recorder
         )
         self.askers: frozenset[str] = frozenset()
+        self.origins = origins.Origins()
         self.carriers: dict[type, Callable[[Any], None]] = {
             effects.Hold: self.links.hold,
             effects.Start: self.links.start,
@@ -195,8 +197,8 @@
             self.owning.give_up(token, reason)
             self.peering.broadcast(messages.Leaving(token))
 
-    def _has_fitter_peer(self) -> bool:
-        cores = self.peering.most_cores()
+    def _has_fitter_peer(self, heard: bool) -> bool:
+        cores = self.peering.most_cores(heard)
         return election.is_fitter(cores, self.around.cores)
 
     def _run(self) -> None:
@@ -237,7 +239,7 @@
 
     def _beat(self) -> None:
         while True:
-            self.peering.broadcast(
+            self.peering.beat(
                 messages.Beat(
                     self.around.name,
                     self.boot,
@@ -248,7 +250,8 @@
                     self.owning.view.revision,
                     self.owning.owner_age_s(),
                     self.around.cores,
-                )
+                ),
+                self.owning.view.owner,
             )
             if self.owning.should_yield():
                 self._hand_over("a fitter daemon is heard")
@@ -274,7 +277,9 @@
         except calls.MalformedError as error:
             LOG.error("{}", error)
             return 0
-        entry = documents.Daemon(self.around.name, self.boot, self.url)
+        entry = documents.Daemon(
+            self.around.name, self.boot, self.url, self.around.cores
+        )
         key = documents.DAEMONS + self.around.name
         request = storecalls.write(
             {}, {key: documents.encode(entry)}, lease=lease
@@ -325,8 +330,16 @@
         self.post(events.OwnershipLost(time.monotonic(), token, reason))
 
     def _stored(self, progress: dict) -> None:
-        """Tells all daemons what the owner has stored."""
-        self.peering.broadcast(messages.StatesStored(progress))
+        """Tells daemons what the owner has stored.
+
+        In a large fleet only those are told that accepted the jobs, for their
+        callers ask there; all others hear of it by their watch.
+        """
+        if self.peering.is_mesh():
+            self.peering.broadcast(messages.StatesStored(progress))
+            return
+        for name, part in self.origins.divide(progress).items():
+            self.peering.send(name, messages.StatesStored(part))
 
     def _write_progress(self, effect: effects.WriteProgress) -> None:
         if self.state.owner is not None:
@@ -365,11 +378,12 @@
     def _take_message(self, sender: str, message: Any) -> None:
         now = time.monotonic()
         if isinstance(message, messages.Beat):
-            self.peering.add(message.name, message.url)
+            self.peering.add(message.name, message.url, message.cores)
             self.owning.hear(message)
         elif isinstance(message, messages.Leaving):
             self.owning.hear_leaving(message.token)
         elif isinstance(message, messages.JobStored):
+            self.origins.note(message.job.job_id, sender)
             self.post(events.JobAccepted(now, message.job, message.revision))
         elif isinstance(message, messages.CancelStored):
             self.post(events.JobCancelled(now, message.job_id))
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -50,7 +50,7 @@
         store: storage.Store,
         claimed: Callable[[int, bool], None],
         lost: Callable[[int, str], None],
-        has_fitter_peer: Callable[[], bool],
+        has_fitter_peer: Callable[[bool], bool],
     ) -> None:
         self.name = name
         self.boot = boot
@@ -108,7 +108,7 @@
         return (
             self.token > 0
             and owned_s > self.yield_after_s
-            and self.has_fitter_peer()
+            and self.has_fitter_peer(True)
         )
 
     def give_up(self, token: int, reason: str) -> None:
@@ -168,7 +168,7 @@
             if not self._should_claim():
                 continue
             wait_s = self.rng.uniform(0.0, election.SPREAD_S)
-            if self.has_fitter_peer():
+            if self.has_fitter_peer(False):
                 wait_s += election.HANDICAP_S
             gevent.sleep(wait_s)
             if self._should_claim() and not self.leaving:
--- a/packages/daemon/mimosaridge_daemon/jobs/peering.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/peering.py
@@ -23,6 +23,12 @@
 SILENCE_S = 2.0
 # How much longer than the call itself its relay may take.
 RELAY_GRACE_S = 0.3
+# With more peers than this, daemons beat to the owner and to their neighbours
+# in the order of names, and only those who accepted a job are told of it: all
+# to all would grow with the square of the fleet.
+MESH_PEERS = 8
+# Neighbours on each side: a zone's loss or a few deaths leave some.
+NEIGHBOURS = 3
 STORE = "store"
 ADVICE = "advice"
 ADVICE_CONNECTIONS = 2
@@ -78,13 +84,34 @@
         # Answers meant for a former process of this machine match no call.
         self.numbers = itertools.count(self.rng.getrandbits(48))
 
-    def add(self, name: str, url: str) -> None:
+    def add(self, name: str, url: str, cores: float = 0.0) -> None:
         """Adds a daemon or changes its address."""
         if name == self.name:
             return
         peer = self.peers.get(name)
         if peer is None or peer.url != url:
-            self.peers[name] = Peer(url)
+            peer = self.peers[name] = Peer(url)
+        peer.cores = cores or peer.cores
+
+    def is_mesh(self) -> bool:
+        """Tells whether the fleet is small enough to tell all of all."""
+        return len(self.peers) <= MESH_PEERS
+
+    def beat(self, beat: messages.Beat, owner: str) -> None:
+        """Sends a beat to all that need it; the owner's beats go to all."""
+        if beat.token or self.is_mesh():
+            self.broadcast(beat)
+            return
+        for name in self.neighbours() | {owner}:
+            self.send(name, beat)
+
+    def neighbours(self) -> set[str]:
+        """Returns the next daemons before and after this one by name."""
+        names = sorted({*self.peers, self.name})
+        here = names.index(self.name)
+        steps = (*range(-NEIGHBOURS, 0), *range(1, NEIGHBOURS + 1))
+        found = {names[(here + step) % len(names)] for step in steps}
+        return found - {self.name}
 
     def remove(self, name: str) -> None:
         """Forgets a daemon that is no longer heard."""
@@ -113,14 +140,19 @@
         }
         return frozenset(names | {self.name})
 
-    def most_cores(self) -> float:
-        """Returns what the strongest peer that has the store gives."""
+    def most_cores(self, heard: bool) -> float:
+        """Returns what the strongest peer gives.
+
+        Args:
+            heard: Whether to count only peers heard lately with the store.
+        """
         now = time.monotonic()
         return max(
             (
                 peer.cores
                 for peer in self.peers.values()
-                if peer.has_store and now - peer.heard_at < SILENCE_S
+                if not heard
+                or (peer.has_store and now - peer.heard_at < SILENCE_S)
             ),
             default=0.0,
         )
--- a/packages/daemon/mimosaridge_daemon/peers.py
+++ b/packages/daemon/mimosaridge_daemon/peers.py
@@ -20,6 +20,8 @@
 LOG = logbook.Logger("peers")
 PING_S = 1.0
 PING_TIMEOUT_S = 2.0
+# The other end checks its link itself; this only frees links of lost daemons.
+INCOMING_PING_S = 5.0
 RETRY_S = 0.3
 QUEUE_MESSAGES = 20_000
 SECRET_HEADER = "X-Mimosaridge-Peer"
@@ -93,8 +95,8 @@
             int(port),
             compression=None,
             process_request=self._check_secret,
-            ping_interval=PING_S,
-            ping_timeout=PING_TIMEOUT_S,
+            ping_interval=INCOMING_PING_S,
+            ping_timeout=INCOMING_PING_S,
             max_size=codec.LARGEST_MESSAGE_BYTES,
         )
 
--- a/tests/daemon/jobs/test_owning.py
+++ b/tests/daemon/jobs/test_owning.py
@@ -36,7 +36,7 @@
         FakeStore(*answers),
         lambda token, gone: claimed.append((token, gone)),
         lambda token, reason: lost.append(token),
-        lambda: fitter,
+        lambda heard: fitter,
     )
     return made, claimed, lost
 
--- a/tests/daemon/jobs/test_reading.py
+++ b/tests/daemon/jobs/test_reading.py
@@ -36,7 +36,7 @@
     def __init__(self):
         self.added = {}
 
-    def add(self, name, url):
+    def add(self, name, url, cores=0.0):
         self.added[name] = url
 
     def remove(self, name):
@@ -51,7 +51,7 @@
         None,
         lambda *args: None,
         lambda *args: None,
-        lambda: False,
+        lambda heard: False,
     )
     peers = FakePeers()
     made = reading.Reader(posted.append, claims, peers, FakeRecorder())
