Tell all daemons of jobs that are over, also in large fleets

Cause: callers ask other daemons than the one that accepted their job. The end of a job is now told to all, without what its tasks did; other progress only where it was accepted.

--- a/packages/cli/mimosaridge_cli/storyteller.py
+++ b/packages/cli/mimosaridge_cli/storyteller.py
@@ -20,6 +20,8 @@
     "advice": "{good} of {asked} workers may run {group}, asked by {asker}.",
     "start": "Task {task}, run {run}, goes to {worker} after {waited_s} s.",
     "start-answered": "{worker} says of run {run}: {result} {detail}",
+    "preempt": "Run {run} of {task} stops on {worker} for {made_room_for}; its"
+    " job could start {slack_s} s later.",
     "ended": "Run {run} of {task} on {worker} ended: {how} {why_stopped}",
     "finished": "The job is {state} after {took_s} s.",
     "owner": "This daemon became the owner, token {token}.",
@@ -27,6 +29,8 @@
     "worker-lost": "{worker} does not answer; its lease ends in"
     " {lease_left_s} s.",
     "lease-over": "The lease of {worker} has ended with {runs} runs.",
+    "worker-flaps": "{worker} ends and comes back by turns; no starts for"
+    " {rest_s} s.",
     "worker-stalled": "Runs on {worker} stand still; {moved} are moved.",
     "progress-unwritten": "Write {batch} of progress was not made; again.",
 }
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -332,13 +332,17 @@
     def _stored(self, progress: dict) -> None:
         """Tells daemons what the owner has stored.
 
-        In a large fleet only those are told that accepted the jobs, for their
-        callers ask there; all others hear of it by their watch.
+        In a large fleet all are told only of jobs that are over, without what
+        their tasks did: callers ask any daemon and wait for that. Of other
+        changes only the daemon that accepted the job is told at once.
         """
         if self.peering.is_mesh():
             self.peering.broadcast(messages.StatesStored(progress))
             return
-        for name, part in self.origins.divide(progress).items():
+        over, parts = self.origins.divide(progress)
+        if over:
+            self.peering.broadcast(messages.StatesStored(over))
+        for name, part in parts.items():
             self.peering.send(name, messages.StatesStored(part))
 
     def _write_progress(self, effect: effects.WriteProgress) -> None:
