--- /dev/null
+++ b/tests/platform/platforms.py
@@ -0,0 +1,196 @@
+"""A stand-in of the platform with daemons as real processes."""
+
+import contextlib
+import json
+import os
+import pathlib
+import secrets
+import subprocess
+import sys
+import time
+
+import urllib3
+
+ROOT = pathlib.Path(__file__).parents[2]
+LONGEST_WAIT_S = 30.0
+HOST = "queues.example"
+PREFIX = "/tasks/"
+STORE_PORT = 8683
+
+
+def _settings(name, ip, store_ip):
+    lines = {
+        "nodeName": name,
+        "ip": ip,
+        "zone": "zone-a",
+        "listenAddresses.front": f"{ip}:8686",
+        "listenAddresses.readiness": f"{ip}:8689",
+        "internalPortRange": "7180,7195",
+        "seedNodes": "",
+        "platform.address": f"{store_ip}:{STORE_PORT}",
+        "recommendation": f"{store_ip}:{STORE_PORT}",
+        "bounds.maxHoldMs": "6000",
+    }
+    return "\n".join(f"{key}={value}" for key, value in lines.items())
+
+
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r1",
+            "host": HOST,
+            "prefix": PREFIX,
+            "service": "registry",
+            "priority": 0,
+            "maxAttempts": 3,
+            "stretch": 2.0,
+            "targetLatencyMs": 500,
+            "recommendation": {
+                "decisionMs": 5,
+                "periodMs": 0.1,
+                "validityMs": 2000,
+            },
+            "public": False,
+        }
+    ],
+    "services": [{"name": "registry"}],
+    "limits": {"maxBodyBytes": 100000},
+    "tenants": [{"name": "a", "apiKeys": ["key-a"], "weight": 10}],
+}
+
+
+class Platform:
+    """A stand-in with daemons, and what the callers heard."""
+
+    def __init__(self, folder, network):
+        self.folder = folder
+        self.network = network
+        self.http = urllib3.PoolManager(retries=False)
+        self.daemons = {}
+        self.job = secrets.token_hex(8)
+        self.status = 0
+        self.headers = {}
+        self.store_ip = f"127.{network}.0.1"
+        self.standin = subprocess.Popen(
+            [
+                sys.executable,
+                str(pathlib.Path(__file__).parent / "standin.py"),
+                self.store_ip,
+                str(STORE_PORT),
+            ]
+        )
+
+    def ask_standin(self, method, path, fields=None):
+        answer = self.http.request(
+            method,
+            f"http://{self.store_ip}:{STORE_PORT}{path}",
+            json=fields,
+            timeout=5,
+        )
+        return answer.json()
+
+    def start_daemon(self, number):
+        ip = f"127.{self.network}.1.{number}"
+        name = f"front-{number}"
+        settings = self.folder / f"{name}.conf"
+        settings.write_text(_settings(name, ip, self.store_ip))
+        with open(self.folder / f"{name}.log", "ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, str(ROOT / "mimosaridge.py"), "front"],
+                env=os.environ | {"MIMOSARIDGE_CONFIG": str(settings)},
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+            )
+        self.daemons[name] = (process, ip)
+
+    def begin(self, daemons, workers):
+        """Starts daemons and workers; returns once there is an owner."""
+        self.wait_for(
+            lambda: self.ask_standin("GET", "/test/starts") is not None,
+            "the stand-in does not answer",
+        )
+        self.ask_standin(
+            "POST", "/test/put", {"key": "op/config", "value": CONFIGURATION}
+        )
+        for number in range(1, workers + 1):
+            self.ask_standin(
+                "POST",
+                "/test/worker",
+                {
+                    "name": f"w{number}",
+                    "cpu": 4000,
+                    "service": "registry",
+                    "zone": "zone-a",
+                    "address": f"127.{self.network}.2.{number}:8080",
+                },
+            )
+        for number in range(1, daemons + 1):
+            self.start_daemon(number)
+        self.wait_for(
+            lambda: all(self.is_ready(ip) for ip in self.live()),
+            "the daemons are not ready",
+        )
+        self.wait_for(self.owner, "no daemon is the owner")
+
+    def end(self):
+        for process, _ in self.daemons.values():
+            process.kill()
+        self.standin.kill()
+        for process in [self.standin, *(p for p, _ in self.daemons.values())]:
+            process.wait()
+
+    def call(self, method, ip, path, fields=None, key="key-a"):
+        answer = self.http.request(
+            method,
+            f"http://{ip}:8686{path}",
+            json=fields,
+            headers={"Host": HOST, "X-Key": key, "X-Deadline-Ms": "3000"},
+            timeout=10,
+        )
+        self.status = answer.status
+        self.headers = answer.headers
+        return json.loads(answer.data) if answer.data else None
+
+    def live(self):
+        return [
+            ip
+            for process, ip in self.daemons.values()
+            if process.poll() is None
+        ]
+
+    def submit(self, steps, content, ip=None, key="key-a"):
+        fields = {"taskSpec": content, "steps": steps}
+        path = PREFIX + self.job
+        return self.call("POST", ip or self.live()[0], path, fields, key)
+
+    def wait_for(self, check, what):
+        deadline = time.monotonic() + LONGEST_WAIT_S
+        while time.monotonic() < deadline:
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                if check():
+                    return
+            time.sleep(0.05)
+        raise TimeoutError(what)
+
+    def is_ready(self, ip):
+        answer = self.http.request(
+            "GET", f"http://{ip}:8689/v1/readiness", timeout=2
+        )
+        return answer.status == 200
+
+    def owner(self):
+        name = ""
+        for candidate in self.daemons:
+            log = (self.folder / f"{candidate}.log").read_text()
+            if '"message": "owner"' in log:
+                name = candidate
+        return name
+
+    def state(self):
+        for ip in self.live():
+            fields = self.call("GET", ip, PREFIX + self.job)
+            if self.status == 200:
+                return fields["state"]
+        return ""
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -97,6 +97,12 @@
         self.closed = {}
         self.starts = []
         self.overlaps = []
+        self.silent_until = 0.0
+
+    def hear(self):
+        """Lets a call wait while the worker is silent; it comes late."""
+        while time.monotonic() < self.silent_until:
+            gevent.sleep(NO_DELAY_S)
 
     def advance(self):
         now = clock_ms()
@@ -261,6 +267,14 @@
     return answer(200, {})
 
 
+@app.post("/test/silence")
+def silence():
+    fields = bottle.request.json
+    worker = workers[fields["name"]]
+    worker.silent_until = time.monotonic() + fields["seconds"]
+    return answer(200, {})
+
+
 @app.get("/test/starts")
 def starts():
     return answer(
@@ -279,6 +293,7 @@
     @calls.post("/v1/hold")
     def hold():
         body = bottle.request.json
+        worker.hear()
         worker.advance()
         if worker.fenced(body):
             return answer(409, {"clockMs": clock_ms(), "reason": "fence"})
@@ -303,6 +318,7 @@
     @calls.post("/v1/run-start")
     def start():
         body = bottle.request.json
+        worker.hear()
         worker.advance()
         now = {"clockMs": clock_ms()}
         key = (body["task"], body["run"])
@@ -327,6 +343,7 @@
     @calls.post("/v1/run-stop")
     def stop():
         body = bottle.request.json
+        worker.hear()
         worker.advance()
         if worker.fenced(body):
             return answer(409, {"clockMs": clock_ms(), "reason": "fence"})
