Send nothing to the store once the caller's time is up

Nothing had been sent, so the refusal is 503 with a time to come back. Ruled out: an outage (the daemon's next call was answered 0.1 s later). tests/daemon/jobs/test_front.py: one case failed before, both pass.

--- a/packages/daemon/mimosaridge_daemon/jobs/front.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -154,6 +154,8 @@
             return storecalls.WriteResult.NOT_DONE, 0
         while True:
             left = deadline - time.monotonic()
+            if left <= 0:
+                return None if in_doubt else storecalls.WriteResult.NOT_DONE, 0
             answer = self.engine.store.call(
                 request, min(left, self.engine.store_timeout_s)
             )
