Decode each change of the store once, and none that the owner made

Cause: a watch's answer holds every change of a job's progress since the last one, and each of 97 daemons decoded and reduced all of them; the owner decoded progress that it had written itself, only for the reducer to drop it. Ruled out: longer pauses between watches (they delay cancels and settings). Both tests were seen failing without the change.

--- a/packages/daemon/mimosaridge_daemon/jobs/following.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/following.py
@@ -30,7 +30,7 @@
         pause_s: Pause after each watch that returned changes, to batch later
             ones.
         on_list: Called with all items after each list.
-        on_change: Called with each change.
+        on_change: Called with the latest change of each key.
         is_enabled: While it returns False the store is not called; afterwards
             the prefix is listed again.
     """
@@ -96,7 +96,8 @@
         if status != 200:
             return False
         page = storecalls.decode_changes(body)
-        for item in page.items:
+        # A job's progress changes several times between two answers.
+        for item in {item.key: item for item in page.items}.values():
             self.on_change(item)
         self.advance(page, time.monotonic())
         if page.items:
--- a/packages/daemon/mimosaridge_daemon/jobs/reading.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/reading.py
@@ -150,6 +150,9 @@
             elif kind == documents.JOBS:
                 job = documents.decode_job(item.value)
                 self.post(events.JobAccepted(now, job, item.revision))
+            elif kind == documents.PROGRESS and self.ownership.token:
+                # The owner is ahead of the store.
+                return
             elif kind == documents.PROGRESS and item.value is not None:
                 job_progress = documents.decode_progress(item.value)
                 self.post(
--- a/tests/daemon/jobs/test_following.py
+++ b/tests/daemon/jobs/test_following.py
@@ -70,6 +70,18 @@
         self.assertEqual(["p/b"], [item.key for item in changes])
         self.assertEqual([10, 12], [_after(path) for path in store.paths[1:]])
 
+    def test_only_latest_change_of_each_key_is_handled(self):
+        changes_of_a_job = [_event("p/a", revision) for revision in (11, 12)]
+        store, _, changes = _follow(
+            _list(10, "p/a"),
+            _changes(14, *changes_of_a_job, _event("p/b", 13)),
+        )
+        self.assertEqual(
+            [("p/a", 12), ("p/b", 13)],
+            [(item.key, item.revision) for item in changes],
+        )
+        self.assertEqual(13, _after(store.paths[-1]))
+
     def test_empty_answer_does_not_advance_immediately(self):
         store, lists, _ = _follow(
             _list(10, "p/a"), _changes(15), COMPACTED, _list(16, "p/a", "p/b")
--- a/tests/daemon/jobs/test_reading.py
+++ b/tests/daemon/jobs/test_reading.py
@@ -36,7 +36,7 @@
     def __init__(self):
         self.added = {}
 
-    def add(self, name, url, cores=0.0):
+    def add(self, name, url, cores=0.0, zone=""):
         self.added[name] = url
 
     def remove(self, name):
@@ -95,6 +95,14 @@
         self.assertEqual(("w2",), reader.fleet.workers)
         self.assertEqual(9, reader.recorder.fleet_revision)
 
+    def test_owner_does_not_decode_progress_that_it_wrote(self):
+        reader, posted, _ = _reader()
+        reader.ownership.token = 7
+        progress = model.Progress(model.JobState.RUNNING)
+        key = documents.PROGRESS + JOB.job_id
+        reader.apply_state_change(_item(key, progress, 8))
+        self.assertEqual([], posted)
+
     def test_malformed_item_is_ignored(self):
         reader, posted, _ = _reader()
         item = storecalls.Item(documents.JOBS + JOB.job_id, b"oops", 4)
