Examine a waiting step only where room may have come

Ruled out: a pass less often (every start waits for it); an index of workers by free room (each step has tickets for other workers). docs/design/0061 has the weighing.

--- a/packages/core/mimosaridge_core/jobs/advice_calls.py
+++ b/packages/core/mimosaridge_core/jobs/advice_calls.py
@@ -22,12 +22,8 @@
 RECHECK_INTERVAL_S = 0.1
 
 
-def may_request(
-    st: state.State, owner: state.Owner, group: state.Group
-) -> bool:
-    """Returns whether a call may be made now, before choosing its workers."""
-    if st.now < group.next_advice_at:
-        return False
+def has_idle_asker(st: state.State, owner: state.Owner) -> bool:
+    """Returns whether a daemon has no call for advice in progress."""
     busy = sum(until > st.now for until in owner.advice_busy.values())
     return busy < len(st.askers)
 
@@ -54,7 +50,7 @@
     advice: model.AdviceSettings,
     workers: list[str],
     out: list,
-) -> None:
+) -> bool:
     """Requests tickets for new workers, or renews tickets that expire soon.
 
     Args:
@@ -64,6 +60,9 @@
         advice: The queue's advice settings.
         workers: Workers that could run the step, in order of preference.
         out: Effects.
+
+    Returns:
+        False if a call is needed and no daemon can make it now.
     """
     known = group.tickets.keys() | group.unfit
     asked = [
@@ -73,19 +72,42 @@
     ]
     if not asked:
         asked = _expiring_tickets(st, group, advice, workers)
-    asked = asked[: tunables.ADVICE_WORKERS]
     if not asked:
         group.next_advice_at = st.now + RECHECK_INTERVAL_S
-        return
-    duration_s = call_duration_s(advice, len(asked))
+        return True
+    # Daemons make the calls at the same time: the answer about all workers
+    # takes no longer than that about the first.
+    for first in range(0, len(asked), tunables.ADVICE_WORKERS):
+        part = asked[first : first + tunables.ADVICE_WORKERS]
+        if not _request(st, owner, group, advice, part, out):
+            return False
+    return True
+
+
+def _request(
+    st: state.State,
+    owner: state.Owner,
+    group: state.Group,
+    advice: model.AdviceSettings,
+    workers: list[str],
+    out: list,
+) -> bool:
+    """Makes an idle daemon call for advice; returns whether there is one."""
+    duration_s = call_duration_s(advice, len(workers))
     asker = _idle_asker(st, owner, duration_s > SLOW_CALL_S)
     if asker is None:
-        return
+        return False
     timeout_s = duration_s + tunables.ADVICE_GRACE_S
     owner.advice_busy[asker] = st.now + timeout_s
-    for worker_id in asked:
+    for worker_id in workers:
         group.advice_pending[worker_id] = st.now + timeout_s
-    out.append(effects.AskAdvice(asker, group.key, tuple(asked), timeout_s))
+    out.append(effects.AskAdvice(asker, group.key, tuple(workers), timeout_s))
+    return True
+
+
+def is_pending(st: state.State, group: state.Group) -> bool:
+    """Returns whether a call about any worker is in progress."""
+    return any(until > st.now for until in group.advice_pending.values())
 
 
 def _is_requested(st: state.State, group: state.Group, worker_id: str) -> bool:
@@ -166,4 +188,4 @@
         elif worker_id not in group.tickets:
             group.unfit.add(worker_id)
     group.next_advice_at = 0.0
-    group.tried_capacity_version = state.NEVER_TRIED
+    group.examine_at = 0.0
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/fitting.py
@@ -0,0 +1,158 @@
+"""Chooses workers with room for tasks; changes nothing."""
+
+import heapq
+
+from mimosaridge_core import resources
+from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import work
+
+
+class Chooser:
+    """Chooses workers for the tasks of one step, one after the other.
+
+    Tasks that end are packed onto the fullest worker, which keeps whole workers
+    free. Standing tasks are spread onto the emptiest, except those with a
+    latency target: packing these leaves workers to tasks that fill. A worker on
+    which a task has failed comes last.
+
+    The worker chosen for one task mostly stays the best for the next, so the
+    workers are kept in a heap: each further task costs a logarithm of their
+    number, not all of them.
+    """
+
+    def __init__(
+        self,
+        group: state.Group,
+        workers: list[state.Worker],
+        reserved: set[str],
+    ) -> None:
+        self.group = group
+        self.needs = work.reserved_resources(group.step)
+        self.is_spread = group.step.standing and not group.step.target_ms
+        self.workers = {
+            worker.entry.worker_id: worker
+            for worker in workers
+            if worker.entry.worker_id not in reserved
+            and not interferes(group, worker)
+        }
+        self.heap: list[tuple] = []
+        for worker in self.workers.values():
+            self._push(worker)
+
+    def choose(self, index: int) -> state.Worker | None:
+        """Returns the best worker for a task, or None if it fits on none.
+
+        The caller starts the task there before the next call.
+        """
+        failed_on = self.group.failed_on.get(index, ())
+        skipped = []
+        chosen = None
+        while self.heap and chosen is None:
+            score = heapq.heappop(self.heap)
+            worker = self.workers[score[-1]]
+            if score != self._score(worker):
+                self._push(worker)
+            elif score[-1] in failed_on:
+                skipped.append(score)
+            else:
+                chosen = worker
+        for score in skipped:
+            heapq.heappush(self.heap, score)
+        if chosen is None and skipped:
+            chosen = self.workers[skipped[0][-1]]
+        elif chosen is not None:
+            # Its room is computed anew when it comes up again.
+            heapq.heappush(self.heap, score)
+        return chosen
+
+    def _push(self, worker: state.Worker) -> None:
+        score = self._score(worker)
+        if score is not None:
+            heapq.heappush(self.heap, score)
+
+    def _score(self, worker: state.Worker) -> tuple | None:
+        """Returns the sort key of a worker; None if it can't take a task."""
+        group = self.group
+        after = fraction_left(worker, self.needs)
+        if after is None or not is_below_worker_limit(
+            group, worker.entry.worker_id
+        ):
+            return None
+        return (
+            worker.failures > 0,
+            bool(group.step.rack) and group.step.rack != worker.rack,
+            -after if self.is_spread else after,
+            worker.entry.worker_id,
+        )
+
+
+def fraction_left(
+    worker: state.Worker, needs: resources.Resources
+) -> float | None:
+    """Returns the largest fraction of a worker left beside one more task.
+
+    Returns:
+        The fraction over all resources; None if the task does not fit.
+    """
+    capacity, used = worker.entry.capacity, worker.used
+    cpu = capacity.cpu_millis - used.cpu_millis - needs.cpu_millis
+    memory = capacity.memory_mib - used.memory_mib - needs.memory_mib
+    accelerators = capacity.accelerators - used.accelerators
+    accelerators -= needs.accelerators
+    if cpu < 0 or memory < 0 or accelerators < 0:
+        return None
+    return max(
+        cpu / capacity.cpu_millis if capacity.cpu_millis else 0.0,
+        memory / capacity.memory_mib if capacity.memory_mib else 0.0,
+        accelerators / capacity.accelerators if capacity.accelerators else 0.0,
+    )
+
+
+def assign_gang(
+    group: state.Group,
+    workers: list[state.Worker],
+    reserved: set[str],
+    count: int,
+) -> list[state.Worker] | None:
+    """Returns a worker for each task of a gang; None if they don't all fit."""
+    needs = work.reserved_resources(group.step)
+    assigned: list[state.Worker] = []
+    limit = group.step.most_per_worker or count
+    ordered = sorted(
+        workers,
+        key=lambda worker: (
+            worker.failures > 0,
+            worker.entry.capacity.cpu_millis - worker.used.cpu_millis,
+        ),
+    )
+    for worker in ordered:
+        if worker.entry.worker_id in reserved or interferes(group, worker):
+            continue
+        available = worker.entry.capacity - worker.used
+        added = 0
+        while len(assigned) < count and added < limit and needs.fits(available):
+            assigned.append(worker)
+            available = available - needs
+            added += 1
+        if len(assigned) == count:
+            return assigned
+    return None
+
+
+def interferes(group: state.Group, worker: state.Worker) -> bool:
+    """Returns whether tasks that fill would share a worker with serving ones.
+
+    The interference between them is not known in advance and changes within
+    seconds; on separate workers there is none.
+    """
+    if group.step.fills:
+        return any(run.is_latency_sensitive for run in worker.runs.values())
+    if group.step.target_ms:
+        return any(run.fills for run in worker.runs.values())
+    return False
+
+
+def is_below_worker_limit(group: state.Group, worker_id: str) -> bool:
+    """Returns whether a worker may get one more task of a step."""
+    limit = group.step.most_per_worker
+    return not limit or work.tasks_on(group, worker_id) < limit
--- a/packages/core/mimosaridge_core/jobs/fleets.py
+++ b/packages/core/mimosaridge_core/jobs/fleets.py
@@ -63,15 +63,15 @@
     return False
 
 
-def usable_workers(owner: state.Owner) -> set[str]:
+def usable_workers(owner: state.Owner) -> frozenset[str]:
     """Returns the workers that are certainly stored as open for starts.
 
     An unconfirmed write may have been carried out, so a worker must also be
     open for starts in the fleet of each such write.
     """
     if owner.fleet is None:
-        return set()
+        return frozenset()
     usable = set(owner.fleet.workers) - owner.fleet.closed.keys()
     for fleet in owner.fleets_in_doubt:
         usable &= set(fleet.workers) - fleet.closed.keys()
-    return usable
+    return frozenset(usable)
--- a/packages/core/mimosaridge_core/jobs/ranking.py
+++ b/packages/core/mimosaridge_core/jobs/ranking.py
@@ -20,24 +20,15 @@
     st: state.State, group: state.Group, queue: model.Queue
 ) -> float:
     """Returns the wall-clock time by which a job should be done, seconds."""
-    job = st.table[group.job_id].job
-    work_s = max(
-        work.critical_path_s(job, number) for number in range(len(job.steps))
-    )
-    due = work.due_at(job, group.repetition)
-    return due + queue.stretch * work_s + queue.target_s
-
-
-def remaining_work_s(st: state.State, group: state.Group) -> float:
-    """Returns the declared critical path from a step to the end, seconds."""
-    return work.critical_path_s(st.table[group.job_id].job, group.number)
+    due = work.due_at(st.table[group.job_id].job, group.repetition)
+    return due + queue.stretch * group.job_work_s + queue.target_s
 
 
 def latest_start(
     st: state.State, group: state.Group, queue: model.Queue
 ) -> float:
     """Returns the latest wall-clock time to start on target, seconds."""
-    return completion_target(st, group, queue) - remaining_work_s(st, group)
+    return completion_target(st, group, queue) - group.remaining_work_s
 
 
 def rank(st: state.State, owner: state.Owner, group: state.Group) -> tuple:
@@ -57,5 +48,5 @@
 
 def is_late(st: state.State, group: state.Group, queue: model.Queue) -> bool:
     """Returns whether a job misses its objective even if placed at once."""
-    least_s = remaining_work_s(st, group) * MIN_ESTIMATE_FRACTION
+    least_s = group.remaining_work_s * MIN_ESTIMATE_FRACTION
     return st.wall > completion_target(st, group, queue) - least_s
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -22,7 +22,7 @@
     """Releases what a run uses of its worker and its team."""
     if worker.runs.pop((run.task_id, run.run), None) is None:
         return
-    owner.capacity_version += 1
+    owner.freed.add(run.worker_id)
     worker.used = worker.used - run.needs
     owner.usage[run.team] = owner.usage[run.team] - run.needs
 
@@ -243,6 +243,8 @@
         if group.runs:
             return
         group.waiting = set(range(group.step.tasks)) - set(group.progress.done)
+        group.examine_at = 0.0
         return
     if index not in group.runs and index not in group.progress.done:
         group.waiting.add(index)
+        group.examine_at = 0.0
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -0,0 +1,80 @@
+"""Starts runs of tasks on workers."""
+
+from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import leases
+from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import runs
+from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import tunables
+from mimosaridge_core.jobs import work
+
+# Run numbers available to one owner. The next owner has a higher fencing token
+# and therefore higher run numbers.
+RUN_NUMBERS_PER_OWNER = 1_000_000
+
+
+def next_run_number(owner: state.Owner) -> int:
+    """Returns a run number above all of former owners."""
+    owner.runs += 1
+    return owner.token * RUN_NUMBERS_PER_OWNER + owner.runs
+
+
+def start_task(
+    st: state.State,
+    owner: state.Owner,
+    entry: state.JobEntry,
+    group: state.Group,
+    index: int,
+    worker: state.Worker,
+    number: int,
+    out: list,
+) -> None:
+    """Records a new run of a task and sends the start call."""
+    worker_id = worker.entry.worker_id
+    task = model.task_id(group.job_id, group.repetition, group.number, index)
+    ticket = group.tickets.get(worker_id)
+    saved = group.progress.saved.get(0 if group.step.gang else index, "")
+    run = state.Run(
+        task,
+        number,
+        worker_id,
+        entry.job.team,
+        work.reserved_resources(group.step),
+        state.Phase.STARTING,
+        st.now,
+        saved=saved,
+        percent_at=st.now,
+        is_latency_sensitive=group.step.target_ms > 0,
+        fills=group.step.fills,
+    )
+    runs.add(owner, worker, run)
+    group.runs.setdefault(index, []).append(run)
+    group.waiting.discard(index)
+    work.mark_started(st, owner, entry)
+    start_before_ms = leases.clock_ms(st, worker) + tunables.START_WINDOW_MS
+    leases.extend(worker, start_before_ms)
+    out.append(
+        effects.Start(
+            worker_id,
+            worker.entry.address,
+            owner.token,
+            task,
+            number,
+            entry.job.content,
+            saved,
+            ticket.text if ticket else "",
+            start_before_ms,
+        )
+    )
+    effects.log_decision(
+        out,
+        "start",
+        job_id=group.job_id,
+        task_id=task,
+        run=number,
+        worker=worker_id,
+        waited_s=round(st.now - group.ready_at, 3),
+        list_age_s=round(st.now - worker.answered_at, 3),
+        configuration=st.configuration.version,
+        resumed=bool(saved),
+    )
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -6,9 +6,6 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import model
 
-# Value of `tried_capacity_version` that makes a step due for placement at once.
-NEVER_TRIED = -1
-
 
 class Phase(enum.StrEnum):
     """Phase of a run, as far as the owner knows."""
@@ -163,9 +160,15 @@
         next_advice_at: No call for advice before that time.
         retry_at: No start before that time.
         preempt_after: No preemption for this group before that time.
-        tried_at: When placement was last tried.
-        tried_capacity_version: The owner's `capacity_version` at that time.
+        examine_at: When placement examines it on all its workers again.
+        is_limited: Whether its team's upper limit kept tasks from starting.
+        wants_advice: Whether it needs a call for advice and no daemon was idle.
+        needs_ticket: Whether its queue requires tickets.
+        reserved: Workers reserved for its waiting tasks, which are large.
         failed_on: Workers on which a task failed, by index.
+        remaining_work_s: Declared critical path from it to the end of the job,
+            seconds.
+        job_work_s: Declared critical path of the whole job, seconds.
     """
 
     job_id: str
@@ -182,9 +185,14 @@
     next_advice_at: float = 0.0
     retry_at: float = 0.0
     preempt_after: float = 0.0
-    tried_at: float = 0.0
-    tried_capacity_version: int = NEVER_TRIED
+    examine_at: float = 0.0
+    is_limited: bool = False
+    wants_advice: bool = False
+    needs_ticket: bool = False
+    reserved: frozenset[str] = frozenset()
     failed_on: dict[int, set[str]] = dataclasses.field(default_factory=dict)
+    remaining_work_s: float = 0.0
+    job_work_s: float = 0.0
 
     @property
     def key(self) -> str:
@@ -262,8 +270,7 @@
         over_rate: Jobs submitted beyond their team's weight.
         repeating: Unfinished jobs with repetitions.
         asked: Number of calls for advice made.
-        capacity_version: Incremented when a run leaves a worker, which may free
-            capacity for a waiting step.
+        freed: Workers on which runs have ended since the last placement.
         stops_checked_at: When unanswered stops were last checked.
     """
 
@@ -298,7 +305,7 @@
     over_rate: set[str] = dataclasses.field(default_factory=set)
     repeating: set[str] = dataclasses.field(default_factory=set)
     asked: int = 0
-    capacity_version: int = 0
+    freed: set[str] = dataclasses.field(default_factory=set)
     stops_checked_at: float = 0.0
 
 
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/teamlimits.py
@@ -0,0 +1,45 @@
+"""Upper limits of teams, as the placement of tasks must respect them."""
+
+from mimosaridge_core import resources
+from mimosaridge_core.jobs import state
+
+
+def allowed_tasks(
+    st: state.State,
+    owner: state.Owner,
+    entry: state.JobEntry,
+    needs: resources.Resources,
+    requested: int,
+) -> int:
+    """Returns how many of the tasks the team's upper limit still allows."""
+    team = st.configuration.teams.get(entry.job.team)
+    if team is None:
+        return requested
+    used = owner.usage.get(entry.job.team, resources.ZERO)
+    limit = team.upper_limit
+    for limit_amount, used_amount, task_amount in (
+        (limit.cpu_millis, used.cpu_millis, needs.cpu_millis),
+        (limit.memory_mib, used.memory_mib, needs.memory_mib),
+        (limit.accelerators, used.accelerators, needs.accelerators),
+    ):
+        if limit_amount and task_amount:
+            requested = min(
+                requested, max(0, (limit_amount - used_amount) // task_amount)
+            )
+    return requested
+
+
+def is_over_limit(
+    st: state.State,
+    owner: state.Owner,
+    entry: state.JobEntry,
+    group: state.Group,
+) -> bool:
+    """Returns whether the team's upper limit prevents further starts."""
+    count = gang_size(group) if group.step.gang else 1
+    return allowed_tasks(st, owner, entry, group.step.needs, count) < count
+
+
+def gang_size(group: state.Group) -> int:
+    """Returns the number of tasks of a gang that must start together."""
+    return group.step.tasks - len(group.progress.done)
--- a/packages/core/mimosaridge_core/jobs/work.py
+++ b/packages/core/mimosaridge_core/jobs/work.py
@@ -142,6 +142,11 @@
             st.now,
             set(range(step.tasks)) - set(progress.done),
             progress,
+            remaining_work_s=critical_path_s(entry.job, number),
+            job_work_s=max(
+                critical_path_s(entry.job, other)
+                for other in range(len(entry.job.steps))
+            ),
         )
         owner.groups[key] = group
         owner.jobs.setdefault(entry.job.job_id, set()).add(key)
--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -9,8 +9,10 @@
 import heapq
 import itertools
 import random
+import zlib
 
 from mimosaridge_core import resources
+from mimosaridge_core.jobs import advice_calls
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
@@ -21,10 +23,13 @@
 TICK_S = 0.02
 CALL_DELAY_S = 0.003
 STORE_DELAY_S = 0.007
+# Shortest time of a call for advice.
+ADVICE_S = 0.05
 # An unanswered call fails after this time.
 CALL_TIMEOUT_S = 0.8
 # Range of the delay with which a late call is executed.
 LATE_CALL_DELAY_S = (2.0, 12.0)
+LONGEST_DOUBLE_S = 6.0
 BACKEND = "registry"
 QUEUE = "enquiries"
 
@@ -37,6 +42,8 @@
         lost_answer_share: Share of calls to workers whose answer is lost.
         late_call_share: Share of calls to workers that are executed seconds
             later, after the caller has timed out.
+        doubled_call_share: Share of calls to workers that are executed a second
+            time up to `LONGEST_DOUBLE_S` later, as after an agent's failure.
         failed_run_share: Share of runs that end as failed.
         is_store_down: Whether writes of progress fail.
         lost_write_share: Share of progress writes that take effect but are
@@ -45,6 +52,7 @@
 
     lost_answer_share: float = 0.0
     late_call_share: float = 0.0
+    doubled_call_share: float = 0.0
     failed_run_share: float = 0.0
     is_store_down: bool = False
     lost_write_share: float = 0.0
@@ -73,6 +81,7 @@
         self.done: set[str] = set()
         self.acknowledged: set[str] = set()
         self.durations: dict[str, float] = {}
+        self.good_share = 1.0
         self.frozen: set[int] = set()
         self.workers: dict[str, jobworkers.Worker] = {}
         self.daemons = [state.State() for _ in range(daemons)]
@@ -104,15 +113,22 @@
                 number, events.ConfigurationChanged(self.now, configuration)
             )
 
-    def add_worker(self, worker_id: str, cpu_millis: int = 4000) -> None:
+    def add_worker(
+        self,
+        worker_id: str,
+        cpu_millis: int = 4000,
+        memory_mib: int = 4096,
+        accelerators: int = 0,
+        backend: str = BACKEND,
+    ) -> None:
         """Adds a worker and announces it to all daemons."""
         entry = model.WorkerEntry(
             worker_id,
             int(self.now * 1000),
-            BACKEND,
+            backend,
             f"{worker_id}:80",
             "zone-a",
-            resources.Resources(cpu_millis, 4096, 0),
+            resources.Resources(cpu_millis, memory_mib, accelerators),
             ("kind", f"rack-{worker_id}"),
         )
         self.workers[worker_id] = jobworkers.Worker(entry)
@@ -160,12 +176,14 @@
         job_id: str,
         *steps: model.Step,
         queue: str = QUEUE,
+        backend: str = BACKEND,
+        team: str = "a",
         **fields: object,
     ) -> None:
         """Stores a job and notifies all daemons."""
         self.revision += 1
         job = model.Job(
-            job_id, queue, BACKEND, "a", "text", steps, self.now, **fields
+            job_id, queue, backend, team, "text", steps, self.now, **fields
         )
         self.jobs[job_id] = (job, self.revision)
         for number in range(len(self.daemons)):
@@ -262,6 +280,9 @@
         if not can_reach:
             self._schedule(CALL_TIMEOUT_S, time_out)
             return
+        doubled_share = self.faults.doubled_call_share
+        if doubled_share and self.rng.random() < doubled_share:
+            self._double_call(number, order, callback, worker)
         if self.rng.random() < self.faults.late_call_share:
             delay = self.rng.uniform(*LATE_CALL_DELAY_S)
             self._schedule(
@@ -297,6 +318,24 @@
             delay = self.rng.uniform(CALL_DELAY_S, order.wait_ms / 1000)
         self._schedule(delay, answer)
 
+    def _double_call(
+        self,
+        number: int,
+        order: object,
+        callback: object,
+        worker: jobworkers.Worker,
+    ) -> None:
+        """Executes a call a second time later; nobody hears its answer."""
+        sent_at, doubled = self.now, copy.copy(order)
+        self._schedule(
+            self.rng.uniform(0.0, LONGEST_DOUBLE_S),
+            lambda: (
+                worker.is_up
+                and worker.is_reachable
+                and callback(number, doubled, sent_at, worker)
+            ),
+        )
+
     def _begin_hold_wait(
         self, worker: jobworkers.Worker, order: effects.Hold
     ) -> None:
@@ -511,9 +550,22 @@
         self._schedule(STORE_DELAY_S, write)
 
     def _answer_advice(self, number: int, effect: effects.AskAdvice) -> None:
-        tickets = {worker: f"t-{worker}" for worker in effect.workers}
+        """Answers as slowly as the queue's settings say, `ADVICE_S` at least.
+
+        Which workers are good depends on the step and the worker alone.
+        """
+        tickets = {
+            worker_id: f"t-{worker_id}"
+            for worker_id in effect.workers
+            if self._is_good(effect.group, worker_id)
+        }
+        job = self.jobs[effect.group.partition(".")[0]][0]
+        advice = self.daemons[number].configuration.queues[job.queue].advice
+        delay_s = ADVICE_S
+        if advice is not None:
+            delay_s = advice_calls.call_duration_s(advice, len(effect.workers))
         self._schedule(
-            0.05,
+            max(delay_s, ADVICE_S),
             lambda: self.deliver(
                 number,
                 events.AdviceAnswered(
@@ -527,3 +579,7 @@
                 ),
             ),
         )
+
+    def _is_good(self, group: str, worker_id: str) -> bool:
+        digest = zlib.crc32(f"{group} {worker_id}".encode())
+        return digest / 2**32 < self.good_share
--- a/tests/core/jobs/test_random.py
+++ b/tests/core/jobs/test_random.py
@@ -62,8 +62,17 @@
     @settings(max_examples=60)
     @given(strategies.integers(0, 10_000))
     def test_no_rule_is_broken(self, seed):
+        self._play(seed)
+
+    @settings(max_examples=40)
+    @given(strategies.integers(0, 10_000))
+    def test_doubled_calls_break_no_rule(self, seed):
+        self._play(seed, doubled_call_share=0.3)
+
+    def _play(self, seed, **faults):
         rng = random.Random(seed)
         world = jobclusters.Cluster(seed=seed)
+        world.faults = jobclusters.Faults(**faults)
         world.claim(0)
         for number in range(12):
             _submit(world, rng, number)
