Let an agent in each zone make the owner's calls to workers

With more than nine daemons the owner now sends the orders of a round to one agent for each 60 workers of a zone, in one message; it still decides everything. Orders carry the owner's token, the end of the lease and the time after which a start is refused; an agent that fails loses no order: the owner gives them directly. Ruled out: several owners (limits would be divided, gangs and preemption cross them), threads, agents that decide. docs/design/0061 has the weighing and what each failure does.

--- a/packages/daemon/mimosaridge_daemon/jobs/documents.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/documents.py
@@ -25,12 +25,14 @@
         boot: Id of the process, new at each start.
         url: WebSocket URL for its peers.
         cores: CPU capacity of its machine, in cores.
+        zone: Availability zone of its machine.
     """
 
     name: str
     boot: str
     url: str
     cores: float = 0.0
+    zone: str = ""
 
 
 def encode(value: object) -> bytes:
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -1,5 +1,6 @@
 """Event loop of a daemon: reduces events and executes their effects."""
 
+import collections
 from collections.abc import Callable
 import time
 from typing import Any
@@ -9,12 +10,14 @@
 from gevent import queue
 import logbook
 
+from mimosaridge_core.jobs import agents
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import election
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import reducer
 from mimosaridge_core.jobs import state
+from mimosaridge_daemon.jobs import agentcalls
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import following
 from mimosaridge_daemon.jobs import messages
@@ -23,6 +26,7 @@
 from mimosaridge_daemon.jobs import peering
 from mimosaridge_daemon.jobs import reading
 from mimosaridge_daemon.jobs import recording
+from mimosaridge_daemon.jobs import routing
 from mimosaridge_daemon.jobs import storage
 from mimosaridge_daemon.jobs import telemetry
 from mimosaridge_daemon.jobs import workerlinks
@@ -51,6 +55,8 @@
 # Workers that leave must be known within 2 s.
 STATE_PAUSE_S = 0.6
 WORKERS_PAUSE_S = 0.25
+# Interval at which the owner chooses its agents anew.
+AGENTS_INTERVAL_S = 0.1
 # Lease of a daemon's registration in the store, renewed before it expires.
 ENTRY_TTL_MS = 15_000
 ENTRY_RENEWAL_S = 5.0
@@ -68,6 +74,8 @@
         state: The reducer's state.
         reader: Decodes the contents of the store.
         draining: Whether the daemon is shutting down.
+        greeted_token: Token of the owner that this daemon last sent a heartbeat
+            to as soon as it heard of it.
     """
 
     def __init__(
@@ -94,6 +102,18 @@
             self._handle_refused,
         )
         self.store.relay = self.peering.relay
+        self.router = routing.Router(
+            self.links,
+            self.post,
+            self.peering.send,
+            self._zone_of,
+            lambda: self.ownership.token,
+        )
+        self.agent_calls = agentcalls.AgentCalls(
+            self.links,
+            self.peering.send,
+            lambda: self.ownership.view.revision,
+        )
         self.ownership = owning.Ownership(
             settings.name,
             self.boot,
@@ -110,10 +130,11 @@
         )
         self.live_daemons: frozenset[str] = frozenset()
         self.origins = origins.Origins()
+        self.greeted_token = 0
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
-            effects.Hold: self.links.hold,
-            effects.Start: self.links.start,
-            effects.Stop: self.links.stop,
+            effects.Hold: self.router.give,
+            effects.Start: self.router.give,
+            effects.Stop: self.router.give,
             effects.AskAdvice: self._ask_advice,
             effects.WriteProgress: self._write_progress,
             effects.Resign: lambda effect: self.ownership.resign(
@@ -129,6 +150,7 @@
         gevent.spawn(self._send_heartbeats)
         gevent.spawn(self._register)
         gevent.spawn(self.ownership.run)
+        gevent.spawn(self.router.run)
         self.peering.links.start()
         for follower in self._followers():
             gevent.spawn(follower.run)
@@ -168,7 +190,7 @@
 
     def log(self, rule: str, **fields: Any) -> None:
         """Logs a decision that the reducer did not make."""
-        telemetry.write_decision(effects.Decision(rule, "", "", fields))
+        telemetry.log(rule, **fields)
 
     def apply_bounds(self, bounds: model.Bounds) -> None:
         """Applies changed time limits."""
@@ -195,6 +217,7 @@
         """Becomes unready and gives up ownership for a peer to claim."""
         self.draining = True
         self.ownership.leaving = True
+        self.peering.send(self.ownership.view.owner, self._heartbeat())
         self._hand_over("this daemon is shutting down")
 
     def _hand_over(self, reason: str) -> None:
@@ -215,6 +238,7 @@
                 self._handle(self.inbox.get())
             if self.ownership.token:
                 self._handle(events.Tick(time.monotonic(), time.time()))
+                self.router.flush()
                 gevent.sleep(DECISION_PAUSE_S)
 
     def _handle(self, event: Any) -> None:
@@ -233,6 +257,7 @@
             LOG.exception("{} failed", type(effect).__name__)
 
     def _tick(self) -> None:
+        choose_agents_at = 0.0
         while True:
             owns = bool(self.ownership.token)
             gevent.sleep(OWNER_TICK_S if owns else IDLE_TICK_S)
@@ -242,22 +267,48 @@
             if live != self.live_daemons:
                 self.live_daemons = live
                 self.post(events.PeersChanged(time.monotonic(), live))
+            if owns and time.monotonic() >= choose_agents_at:
+                choose_agents_at = time.monotonic() + AGENTS_INTERVAL_S
+                self._choose_agents()
+
+    def _choose_agents(self) -> None:
+        """Chooses the daemons that call workers; none in a small fleet."""
+        if self.peering.is_mesh():
+            self.router.set_agents({})
+            return
+        candidates = [
+            candidate
+            for candidate in self.peering.agent_candidates()
+            if not self.router.is_failed(candidate.name)
+        ]
+        workers = collections.Counter(
+            entry.zone for entry in self.state.entries.values()
+        )
+        self.router.set_agents(agents.choose_agents(candidates, workers))
+
+    def _zone_of(self, worker_id: str) -> str:
+        entry = self.state.entries.get(worker_id)
+        return entry.zone if entry is not None else ""
+
+    def _heartbeat(self) -> messages.Beat:
+        return messages.Beat(
+            self.settings.name,
+            self.boot,
+            self.url,
+            self.store.has_store,
+            self.store.reaches_store(STORE_UNREACHABLE_S),
+            self.ownership.token,
+            self.ownership.view.revision,
+            self.ownership.owner_age_s(),
+            self.settings.cores,
+            self.settings.zone,
+            self.draining,
+        )
 
     def _send_heartbeats(self) -> None:
         while True:
             self.peering.send_heartbeat(
-                messages.Beat(
-                    self.settings.name,
-                    self.boot,
-                    self.url,
-                    self.store.has_store,
-                    self.store.reaches_store(STORE_UNREACHABLE_S),
-                    self.ownership.token,
-                    self.ownership.view.revision,
-                    self.ownership.owner_age_s(),
-                    self.settings.cores,
-                ),
-                self.ownership.view.owner,
+                self._heartbeat(), self.ownership.view.owner
             )
             if self.ownership.should_yield():
                 self._hand_over("a daemon on a preferred machine is in contact")
@@ -286,7 +337,11 @@
             LOG.error("{}", error)
             return 0
         entry = documents.Daemon(
-            self.settings.name, self.boot, self.url, self.settings.cores
+            self.settings.name,
+            self.boot,
+            self.url,
+            self.settings.cores,
+            self.settings.zone,
         )
         key = documents.DAEMONS + self.settings.name
         request = storecalls.write(
@@ -335,6 +390,7 @@
 
     def _on_lost(self, token: int, reason: str) -> None:
         telemetry.IS_OWNER.set(0)
+        self.router.reset()
         self.post(events.OwnershipLost(time.monotonic(), token, reason))
 
     def _on_stored(self, progress: dict) -> None:
@@ -390,8 +446,11 @@
     def _handle_message(self, sender: str, message: Any) -> None:
         now = time.monotonic()
         if isinstance(message, messages.Beat):
-            self.peering.add(message.name, message.url, message.cores)
-            self.ownership.handle_heartbeat(message)
+            self._handle_heartbeat(message)
+        elif isinstance(message, messages.WorkerOrders):
+            self.agent_calls.handle_orders(sender, message)
+        elif isinstance(message, messages.WorkerAnswers):
+            self.router.handle_answers(sender, message)
         elif isinstance(message, messages.Leaving):
             self.ownership.handle_leaving(message.token)
         elif isinstance(message, messages.JobStored):
@@ -405,5 +464,17 @@
                     events.ProgressStored(now, job_id, progress, revision)
                 )
 
+    def _handle_heartbeat(self, heartbeat: messages.Beat) -> None:
+        self.peering.add(
+            heartbeat.name, heartbeat.url, heartbeat.cores, heartbeat.zone
+        )
+        self.ownership.handle_heartbeat(heartbeat)
+        self.router.handle_heartbeat(heartbeat.name)
+        if heartbeat.token > self.greeted_token:
+            # A new owner needs to know its agents before the next interval.
+            self.greeted_token = heartbeat.token
+            self.peering.send(heartbeat.name, self._heartbeat())
+
     def _handle_refused(self, name: str) -> None:
         self.ownership.handle_refused(name)
+        self.router.fail(name, "its connection was refused")
--- a/packages/daemon/mimosaridge_daemon/jobs/messages.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/messages.py
@@ -1,7 +1,10 @@
 """Messages between daemons about jobs, as CBOR over WebSockets."""
 
 import dataclasses
+from typing import Any
 
+from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 
 
@@ -19,6 +22,8 @@
         owner_token: Fencing token of the owner that it knows; 0 if none.
         owner_age_s: Time since its last contact with that owner, seconds.
         cores: CPU capacity of its machine, in cores.
+        zone: Availability zone of its machine.
+        is_leaving: Whether it is shutting down.
     """
 
     name: str
@@ -30,6 +35,8 @@
     owner_token: int
     owner_age_s: float
     cores: float = 1.0
+    zone: str = ""
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +108,56 @@
     progress: dict[str, tuple[model.Progress, int]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerOrders:
+    """Orders of the owner for workers, each with a number; sent to an agent."""
+
+    holds: tuple[tuple[int, effects.Hold], ...] = ()
+    starts: tuple[tuple[int, effects.Start], ...] = ()
+    stops: tuple[tuple[int, effects.Stop], ...] = ()
+
+    @classmethod
+    def of(cls, orders: list[tuple[int, Any]]) -> "WorkerOrders":
+        """Returns the message with these orders."""
+        return cls(
+            _of_type(orders, effects.Hold),
+            _of_type(orders, effects.Start),
+            _of_type(orders, effects.Stop),
+        )
+
+    def all(self) -> tuple[tuple[int, Any], ...]:
+        """Returns all orders with their numbers."""
+        return (*self.holds, *self.starts, *self.stops)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerAnswers:
+    """Workers' answers to orders, by their numbers; sent to the owner."""
+
+    holds: tuple[tuple[int, events.HoldAnswered], ...] = ()
+    starts: tuple[tuple[int, events.StartAnswered], ...] = ()
+    stops: tuple[tuple[int, events.StopAnswered], ...] = ()
+
+    @classmethod
+    def of(cls, answers: list[tuple[int, Any]]) -> "WorkerAnswers":
+        """Returns the message with these answers."""
+        return cls(
+            _of_type(answers, events.HoldAnswered),
+            _of_type(answers, events.StartAnswered),
+            _of_type(answers, events.StopAnswered),
+        )
+
+    def all(self) -> tuple[tuple[int, Any], ...]:
+        """Returns all answers with their numbers."""
+        return (*self.holds, *self.starts, *self.stops)
+
+
+def _of_type(
+    numbered: list[tuple[int, Any]], kind: type
+) -> tuple[tuple[int, Any], ...]:
+    return tuple(pair for pair in numbered if isinstance(pair[1], kind))
+
+
 ALL = (
     Beat,
     Leaving,
@@ -109,4 +166,6 @@
     JobStored,
     CancelStored,
     StatesStored,
+    WorkerOrders,
+    WorkerAnswers,
 )
--- a/packages/daemon/mimosaridge_daemon/jobs/peering.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/peering.py
@@ -12,6 +12,7 @@
 import result
 
 from mimosaridge_core import events as peer_events
+from mimosaridge_core.jobs import agents
 from mimosaridge_daemon import clients
 from mimosaridge_daemon import codec
 from mimosaridge_daemon import peers
@@ -21,6 +22,9 @@
 
 # A peer without a heartbeat for this time is not asked to relay calls.
 HEARTBEAT_TIMEOUT_S = 2.0
+# A peer without a heartbeat for this time, two intervals of them, gets no
+# orders for workers.
+AGENT_HEARTBEAT_TIMEOUT_S = 1.4
 # A relayed call may take this much longer than a direct one.
 RELAY_GRACE_S = 0.3
 # With more peers than this, daemons send heartbeats only to the owner and to
@@ -47,6 +51,8 @@
         last_heartbeat_at: When its last heartbeat arrived, monotonic seconds.
         has_store: Whether it can call the store directly.
         cores: CPU capacity of its machine, in cores.
+        zone: Availability zone of its machine.
+        is_leaving: Whether it is shutting down.
     """
 
     url: str
@@ -54,6 +60,8 @@
     last_heartbeat_at: float = 0.0
     has_store: bool = False
     cores: float = 0.0
+    zone: str = ""
+    is_leaving: bool = False
 
 
 class Peering:
@@ -86,14 +94,17 @@
         # machine match no pending call.
         self.call_ids = itertools.count(self.rng.getrandbits(48))
 
-    def add(self, name: str, url: str, cores: float = 0.0) -> None:
-        """Adds a peer or updates its URL and cores."""
+    def add(
+        self, name: str, url: str, cores: float = 0.0, zone: str = ""
+    ) -> None:
+        """Adds a peer or updates its URL, cores and availability zone."""
         if name == self.name:
             return
         peer = self.peers.get(name)
         if peer is None or peer.url != url:
             peer = self.peers[name] = Peer(url)
         peer.cores = cores or peer.cores
+        peer.zone = zone or peer.zone
 
     def is_mesh(self) -> bool:
         """Returns whether there are few enough daemons for a full mesh."""
@@ -145,6 +156,15 @@
         }
         return frozenset(names | {self.name})
 
+    def agent_candidates(self) -> list[agents.Candidate]:
+        """Returns the peers that can call workers for this daemon."""
+        since = time.monotonic() - AGENT_HEARTBEAT_TIMEOUT_S
+        return [
+            agents.Candidate(name, peer.zone, peer.cores)
+            for name, peer in self.peers.items()
+            if peer.last_heartbeat_at > since and not peer.is_leaving
+        ]
+
     def most_cores(self, live_only: bool) -> float:
         """Returns the largest number of cores of a peer; 0 without peers.
 
@@ -247,6 +267,7 @@
             peer.last_heartbeat_at = time.monotonic()
             peer.has_store = heartbeat.has_store
             peer.cores = heartbeat.cores
+            peer.is_leaving = heartbeat.is_leaving
 
     def _serve_relay(self, sender: str, call: messages.RelayCall) -> None:
         request = calls.Request(call.method, call.path, call.body)
--- a/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
@@ -3,6 +3,7 @@
 import collections
 import json
 import sys
+from typing import Any
 
 import gevent
 from gevent import os as gevent_os
@@ -98,6 +99,11 @@
     DECISION_LOG.info(decision.rule, extra=fields | decision.fields)
 
 
+def log(rule: str, **fields: Any) -> None:
+    """Logs a decision that the reducer did not make."""
+    write_decision(effects.Decision(rule, "", "", fields))
+
+
 def exposition() -> bytes:
     """Returns all metrics in the Prometheus text format."""
     return prometheus_client.generate_latest(REGISTRY)
--- a/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
@@ -22,6 +22,41 @@
 ORDER_TIMEOUT_S = 0.4
 
 
+Order = effects.Hold | effects.Start | effects.Stop
+Answer = events.HoldAnswered | events.StartAnswered | events.StopAnswered
+
+
+def timeout_s(order: Order) -> float:
+    """Returns how long a worker may take to answer an order, seconds."""
+    if isinstance(order, effects.Hold):
+        return order.wait_ms / 1000 + ORDER_TIMEOUT_S
+    return ORDER_TIMEOUT_S
+
+
+def answer_to(
+    order: Order, result: events.CallResult, detail: str = ""
+) -> Answer:
+    """Returns the event for an order's answer; a hold's is without lists."""
+    now = time.monotonic()
+    if isinstance(order, effects.Hold):
+        return events.HoldAnswered(
+            now, order.worker_id, now, order.token, order.incarnation, result
+        )
+    if isinstance(order, effects.Start):
+        return events.StartAnswered(
+            now,
+            order.worker_id,
+            order.task_id,
+            order.run,
+            order.token,
+            result,
+            detail,
+        )
+    return events.StopAnswered(
+        now, order.worker_id, order.task_id, order.run, order.token, result
+    )
+
+
 class Links:
     """HTTP clients of workers, by address."""
 
@@ -29,19 +64,27 @@
         self.post = post
         self.clients: dict[str, clients.Client] = {}
 
-    def hold(self, command: effects.Hold) -> None:
-        """Renews a worker's lease and requests the lists of its runs."""
-        gevent.spawn(self._hold, command)
+    def give(self, order: Order) -> None:
+        """Calls a worker and posts its answer; returns at once."""
+        gevent.spawn(self._call_and_post, order)
 
-    def start(self, command: effects.Start) -> None:
-        """Starts a task."""
-        gevent.spawn(self._start, command)
+    def _call_and_post(self, order: Order) -> None:
+        self.post(self.call(order))
 
-    def stop(self, command: effects.Stop) -> None:
-        """Stops a run."""
-        gevent.spawn(self._stop, command)
+    def call(self, order: Order) -> Answer:
+        """Calls a worker and returns its answer, or the failure."""
+        if isinstance(order, effects.Hold):
+            return self._hold(order)
+        if isinstance(order, effects.Start):
+            request = workercalls.start(order)
+        else:
+            request = workercalls.stop(order)
+        outcome, reason, _ = self._exchange(
+            order.address, request, timeout_s(order)
+        )
+        return answer_to(order, outcome, reason)
 
-    def _call(
+    def _exchange(
         self, address: str, request: calls.Request, timeout_s: float
     ) -> tuple[events.CallResult, str, bytes]:
         client = self.clients.get(address)
@@ -68,61 +111,23 @@
         outcome, reason = workercalls.decode_result(status, body)
         return outcome, reason, body
 
-    def _hold(self, command: effects.Hold) -> None:
+    def _hold(self, order: effects.Hold) -> events.HoldAnswered:
         sent_at = time.monotonic()
-        timeout_s = command.wait_ms / 1000 + ORDER_TIMEOUT_S
-        outcome, _, body = self._call(
-            command.address, workercalls.hold(command), timeout_s
-        )
-        lists = workercalls.HoldAnswer(0, 0, (), ())
-        if outcome == events.CallResult.DONE:
-            try:
-                lists = workercalls.decode_hold_answer(body)
-            except calls.MalformedError as error:
-                LOG.error("{}", error, extra={"worker": command.worker_id})
-                outcome = events.CallResult.UNKNOWN
-        self.post(
-            events.HoldAnswered(
-                time.monotonic(),
-                command.worker_id,
-                sent_at,
-                command.token,
-                command.incarnation,
-                outcome,
-                lists.clock_ms,
-                lists.born,
-                lists.running,
-                lists.ended,
-            )
-        )
-
-    def _start(self, command: effects.Start) -> None:
-        outcome, reason, _ = self._call(
-            command.address, workercalls.start(command), ORDER_TIMEOUT_S
-        )
-        self.post(
-            events.StartAnswered(
-                time.monotonic(),
-                command.worker_id,
-                command.task_id,
-                command.run,
-                command.token,
-                outcome,
-                reason,
-            )
-        )
-
-    def _stop(self, command: effects.Stop) -> None:
-        outcome, _, _ = self._call(
-            command.address, workercalls.stop(command), ORDER_TIMEOUT_S
-        )
-        self.post(
-            events.StopAnswered(
-                time.monotonic(),
-                command.worker_id,
-                command.task_id,
-                command.run,
-                command.token,
-                outcome,
-            )
+        outcome, _, body = self._exchange(
+            order.address, workercalls.hold(order), timeout_s(order)
         )
+        answer = answer_to(order, outcome)
+        answer.sent_at = sent_at
+        if outcome != events.CallResult.DONE:
+            return answer
+        try:
+            lists = workercalls.decode_hold_answer(body)
+        except calls.MalformedError as error:
+            LOG.error("{}", error, extra={"worker": order.worker_id})
+            answer.result = events.CallResult.UNKNOWN
+            return answer
+        answer.clock_ms = lists.clock_ms
+        answer.born = lists.born
+        answer.running = lists.running
+        answer.ended = lists.ended
+        return answer
