Let the job ahead of a waiting one last longer than the commands that ask about it

Cause of a known red test: the job ahead lasted 3 s and each command starts a process, so beside other work the last job had run before why-waiting was asked. Ruled out: a fault of why-waiting; it answers for the state at the time of the question.

--- a/tests/scenarios/asking.feature
+++ b/tests/scenarios/asking.feature
@@ -5,7 +5,7 @@
     Given a queensland deployment with 2 daemons
     And a team tontine with a key
     And an analyst with a key
-    When team tontine submits a batch job of 7 tasks that fill an actuarial worker for 3 seconds
+    When team tontine submits a batch job of 7 tasks that fill an actuarial worker for 9 seconds
     And team tontine submits a batch job of 1 tasks that fill an actuarial worker for 0 seconds
     Then why-waiting reports for the last job "no worker there has room"
     And history lists 2 work items
