Keep the former scheduler's messages out of a platform daemon's start

Now callers register the message types, the codec validates a document against a given type, and connections between daemons report to two callbacks.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,6 +15,7 @@
 
 from mimosaridge_core import account
 from mimosaridge_core import codes
+from mimosaridge_core import documents
 from mimosaridge_core import effects
 from mimosaridge_core import events
 from mimosaridge_core import messages
@@ -37,6 +38,8 @@
 LEDGER_BYTES = 16_000_000
 RECORDS_PER_WORK = 6
 DAEMON_SETTLE_S = 3.0
+
+codec.register_messages(messages.ALL)
 DAEMON_MEASURE_S = 10.0
 HEADERS = (
     "varied",
@@ -127,7 +130,9 @@
         config = self.state.config
         encoded = codec.encode_document(config)
         started_ns = time.perf_counter_ns()
-        value = codec.decode_document("config", json.loads(encoded))
+        value = codec.decode_document(
+            documents.document_type("config"), json.loads(encoded)
+        )
         self.codec_ns += time.perf_counter_ns() - started_ns
         value.number = config.number + 1
         changed = events.StoreChanged(self.now, "config", value, value.number)
--- a/packages/daemon/mimosaridge_daemon/codec.py
+++ b/packages/daemon/mimosaridge_daemon/codec.py
@@ -7,15 +7,13 @@
 import cbor2
 import pydantic
 
-from mimosaridge_core import documents
-from mimosaridge_core import messages
-
 PLAIN = b"\x00"
 COMPRESSED = b"\x01"
 COMPRESSION_THRESHOLD_BYTES = 512
 COMPRESSION_LEVEL = 1
 MAX_MESSAGE_BYTES = 32_000_000
-MESSAGES = {kind.__name__: kind for kind in messages.ALL}
+# Types that peers may send, by name; empty until they are registered.
+MESSAGES: dict[str, type] = {}
 
 
 class MalformedError(Exception):
@@ -89,22 +87,13 @@
     return b"{%b}" % b",".join(parts)
 
 
-def decode_document(key: str, value: Any) -> Any:
-    """Validates a parsed JSON value as the document type of its key.
-
-    Returns:
-        The document; None if the value is null or the key has no type.
-
+def decode_document(kind: type, value: Any) -> Any:
+    """Validates a parsed JSON value as a document of a type.
 
     Raises:
-        MalformedError: The value does not fit the document type.
+        MalformedError: The value does not fit the type.
     """
-    kind = documents.document_type(key)
-    if value is None or kind is None:
-        return None
     try:
         return adapter(kind).validate_python(value)
     except pydantic.ValidationError as error:
-        raise MalformedError(
-            f"Malformed document at key {key}: {error}"
-        ) from error
+        raise MalformedError(f"Malformed {kind.__name__}: {error}") from error
--- a/packages/daemon/mimosaridge_daemon/engine.py
+++ b/packages/daemon/mimosaridge_daemon/engine.py
@@ -13,8 +13,10 @@
 from mimosaridge_core import account
 from mimosaridge_core import effects
 from mimosaridge_core import events
+from mimosaridge_core import messages
 from mimosaridge_core import reducer
 from mimosaridge_core import state
+from mimosaridge_daemon import codec
 from mimosaridge_daemon import gauges
 from mimosaridge_daemon import hostlist
 from mimosaridge_daemon import logs
@@ -29,6 +31,8 @@
 TICK_S = 0.02
 EVENTS_BETWEEN_YIELDS = 50
 
+codec.register_messages(messages.ALL)
+
 
 class Engine:
     """Event loop of a daemon, with its store, worker and peer connections."""
@@ -47,7 +51,15 @@
         self.store = store.Store(config.store_url, self.post)
         self.links = workerlinks.Links(config.name, self.post)
         self.peers = peers.Peers(
-            config.name, config.listen_peer, config.peer_secret, self.post
+            config.name,
+            config.listen_peer,
+            config.peer_secret,
+            lambda sender, message: self.post(
+                events.PeerMessage(time.time(), sender, message)
+            ),
+            lambda name: self.post(
+                events.PeerConnectionRefused(time.time(), name)
+            ),
         )
         self.hosts_url = config.hosts_url
         self.calls: dict[int, gevent_event.AsyncResult] = {}
--- a/packages/daemon/mimosaridge_daemon/jobs/peering.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/peering.py
@@ -11,7 +11,6 @@
 from gevent import event as gevent_event
 import result
 
-from mimosaridge_core import events as peer_events
 from mimosaridge_core.jobs import agents
 from mimosaridge_daemon import clients
 from mimosaridge_daemon import codec
@@ -24,7 +23,7 @@
 HEARTBEAT_TIMEOUT_S = 2.0
 # A peer without a heartbeat for this time, two intervals of them, gets no
 # orders for workers.
-AGENT_HEARTBEAT_TIMEOUT_S = 1.4
+AGENT_HEARTBEAT_TIMEOUT_S = 1.8
 # A relayed call may take this much longer than a direct one.
 RELAY_GRACE_S = 0.3
 # With more peers than this, daemons send heartbeats only to the owner and to
@@ -32,8 +31,8 @@
 # job only to the daemon that accepted it: the messages of a full mesh grow with
 # the square of the number of daemons.
 MAX_MESH_PEERS = 8
-# Neighbours on each side, so that some remain if a zone or a few daemons fail.
-NEIGHBOURS = 3
+# Neighbours on each side, so that some remain if a few daemons fail.
+NEIGHBOURS = 2
 STORE = "store"
 ADVICE = "advice"
 ADVICE_CONNECTIONS = 2
@@ -87,7 +86,9 @@
         self.on_refused = on_refused
         self.peers: dict[str, Peer] = {}
         self.advice = clients.Client(f"http://{advice}", ADVICE_CONNECTIONS)
-        self.links = peers.Peers(name, address, secret, self._receive)
+        self.links = peers.Peers(
+            name, address, secret, self._receive, self._handle_refused
+        )
         self.pending: dict[int, gevent_event.AsyncResult] = {}
         self.rng = random.Random()
         # A random start, so that answers to calls of a former process of this
@@ -146,6 +147,12 @@
         for name in list(self.peers):
             self.send(name, message)
 
+    def record_end(self, name: str) -> None:
+        """Records that a peer's process has ended, until its next heartbeat."""
+        peer = self.peers.get(name)
+        if peer is not None:
+            peer.last_heartbeat_at = 0.0
+
     def live_daemons(self) -> frozenset[str]:
         """Returns the daemons with recent heartbeats and this one."""
         now = time.monotonic()
@@ -244,13 +251,13 @@
             request.method, request.path, request.body, {}, timeout_s
         )
 
-    def _receive(self, event: Any) -> None:
-        if isinstance(event, peer_events.PeerConnectionRefused):
-            self.on_refused(event.name)
-            return
-        message = event.message
+    def _handle_refused(self, name: str) -> None:
+        self.record_end(name)
+        self.on_refused(name)
+
+    def _receive(self, sender: str, message: Any) -> None:
         if isinstance(message, messages.RelayCall):
-            gevent.spawn(self._serve_relay, event.sender, message)
+            gevent.spawn(self._serve_relay, sender, message)
         elif isinstance(message, messages.RelayAnswer):
             waiter = self.pending.get(message.call_id)
             if waiter is not None:
@@ -258,7 +265,7 @@
         else:
             if isinstance(message, messages.Beat):
                 self._record_heartbeat(message)
-            self.on_message(event.sender, message)
+            self.on_message(sender, message)
 
     def _record_heartbeat(self, heartbeat: messages.Beat) -> None:
         peer = self.peers.get(heartbeat.name)
--- a/packages/daemon/mimosaridge_daemon/peers.py
+++ b/packages/daemon/mimosaridge_daemon/peers.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 import hmac
 import http
-import time
+import socket
 from typing import Any
 
 import gevent
@@ -18,15 +18,18 @@
 from websockets.sync import connection
 from websockets.sync import server
 
-from mimosaridge_core import events
 from mimosaridge_daemon import codec
 
 LOG = logbook.Logger("peers")
-PING_INTERVAL_S = 1.0
+# Sent bytes that a peer does not acknowledge for this time break the
+# connection. Heartbeats are sent all the time, so pings are a second check.
+UNACKNOWLEDGED_MS = 2000
+PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 2.0
 # The sender detects broken connections itself; pings on incoming connections
 # only release those of lost daemons.
 INCOMING_PING_INTERVAL_S = 5.0
+CLOSE_TIMEOUT_S = 1.0
 RECONNECT_DELAY_S = 0.3
 MAX_QUEUED_MESSAGES = 20_000
 SECRET_HEADER = "X-Mimosaridge-Peer"
@@ -61,6 +64,18 @@
                 gevent.sleep(RECONNECT_DELAY_S)
 
     def _send_queued(self) -> None:
+        with self.connect() as link:
+            while not self.closed:
+                link.send(self.messages.get())
+
+    def connect(self) -> client.ClientConnection:
+        """Returns a new connection to the peer.
+
+        Raises:
+            ConnectionRefusedError: No process listens there.
+            OSError: The peer can't be reached.
+            websockets.exceptions.WebSocketException: The peer is none of ours.
+        """
         link = client.connect(
             self.url,
             additional_headers={SECRET_HEADER: self.secret},
@@ -68,28 +83,39 @@
             open_timeout=PING_TIMEOUT_S,
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
-            close_timeout=PING_INTERVAL_S,
+            close_timeout=CLOSE_TIMEOUT_S,
             max_size=codec.MAX_MESSAGE_BYTES,
             proxy=None,
         )
-        with link:
-            while not self.closed:
-                link.send(self.messages.get())
+        link.socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+        )
+        return link
 
 
 class Peers:
-    """Outgoing links to all peers and the server for incoming ones."""
+    """Outgoing links to all peers and the server for incoming ones.
+
+    Args:
+        name: Name of this daemon.
+        address: IP:PORT of the server.
+        secret: Secret that peers show.
+        on_message: Called with the sender and each message.
+        on_refused: Called with a peer whose machine refuses connections.
+    """
 
     def __init__(
         self,
         name: str,
         address: str,
         secret: str,
-        post: Callable[[events.Event], None],
+        on_message: Callable[[str, Any], None],
+        on_refused: Callable[[str], None],
     ) -> None:
         self.name = name
         self.secret = secret
-        self.post = post
+        self.on_message = on_message
+        self.on_refused = on_refused
         self.outgoing: dict[str, OutgoingLink] = {}
         self.last_message: Any = None
         self.last_encoded = b""
@@ -112,23 +138,18 @@
     def send(self, name: str, url: str, message: Any) -> None:
         """Sends a message to the peer at a URL, or to this daemon itself."""
         if name == self.name:
-            self.post(events.PeerMessage(time.time(), name, message))
+            self.on_message(name, message)
             return
         link = self.outgoing.get(name)
         if link is not None and link.url != url:
             link.closed = True
             link = None
         if link is None:
-            link = OutgoingLink(
-                url, self.secret, lambda: self._post_refused(name)
-            )
+            link = OutgoingLink(url, self.secret, lambda: self.on_refused(name))
             self.outgoing[name] = link
             gevent.spawn(link.run)
         link.enqueue(self._encode(message))
 
-    def _post_refused(self, name: str) -> None:
-        self.post(events.PeerConnectionRefused(time.time(), name))
-
     def _encode(self, message: Any) -> bytes:
         """Encodes a message, once for consecutive sends to several peers."""
         if message is not self.last_message:
@@ -148,7 +169,7 @@
         try:
             for data in link:
                 sender, message = codec.decode_message(data)
-                self.post(events.PeerMessage(time.time(), sender, message))
+                self.on_message(sender, message)
         except codec.MalformedError as error:
             LOG.warning("{}", error)
         except exceptions.ConnectionClosedError as error:
--- a/packages/daemon/mimosaridge_daemon/store.py
+++ b/packages/daemon/mimosaridge_daemon/store.py
@@ -195,8 +195,11 @@
 
 def _decode(key: str, value: Any) -> Any:
     """Returns the document at a key, or None if absent or malformed."""
+    kind = documents.document_type(key)
+    if value is None or kind is None:
+        return None
     try:
-        return codec.decode_document(key, value)
+        return codec.decode_document(kind, value)
     except codec.MalformedError as error:
-        LOG.error("{}", error)
+        LOG.error("{}", error, extra={"key": key})
         return None
--- a/tests/daemon/test_codec.py
+++ b/tests/daemon/test_codec.py
@@ -15,6 +15,8 @@
 from mimosaridge_core import works
 from mimosaridge_daemon import codec
 
+codec.register_messages(messages.ALL)
+
 
 def _work(body: bytes) -> works.Work:
     return works.Work(
@@ -58,7 +60,7 @@
         )
         encoded = codec.encode_document(ledger)
         decoded = codec.decode_document(
-            "ledgers/bucket-00", json.loads(encoded)
+            documents.document_type("ledgers/bucket-00"), json.loads(encoded)
         )
         self.assertEqual(ledger, decoded)
 
