Let idle daemons wake up less often

Cause: at 97 daemons, what each does without any job costs more than the jobs: timers that find nothing to do, heartbeats, pings and, after each write of the owner, a message with ended jobs to every daemon. Ruled out: longer heartbeats in small deployments (they cost little there); leaving the news to watches (callers would wait up to a second longer).

--- a/packages/core/mimosaridge_core/jobs/election.py
+++ b/packages/core/mimosaridge_core/jobs/election.py
@@ -63,6 +63,12 @@
     return cores > PREFERRED_CORES_FACTOR * own_cores
 
 
+def silent_at(view: OwnerView) -> float:
+    """Returns when an owner without further contact is replaced."""
+    contact_at = max(view.last_contact_at, view.last_peer_contact_at)
+    return contact_at + OWNER_SILENCE_S
+
+
 def should_claim(
     view: OwnerView,
     name: str,
@@ -90,5 +96,4 @@
     storeless_since = max(view.storeless_since, answering_since)
     if view.storeless_since and now - storeless_since > OWNER_STORELESS_S:
         return True
-    contact_at = max(view.last_contact_at, view.last_peer_contact_at)
-    return now - contact_at > OWNER_SILENCE_S
+    return now > silent_at(view)
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -21,7 +21,7 @@
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import following
 from mimosaridge_daemon.jobs import messages
-from mimosaridge_daemon.jobs import origins
+from mimosaridge_daemon.jobs import news
 from mimosaridge_daemon.jobs import owning
 from mimosaridge_daemon.jobs import peering
 from mimosaridge_daemon.jobs import reading
@@ -38,13 +38,16 @@
 LOG = logbook.Logger("engine")
 # Longest time between two ticks of the owner; starting a task takes 3 ms.
 OWNER_TICK_S = 0.02
-IDLE_TICK_S = 0.2
+IDLE_TICK_S = 1.0
 # Pause of the owner after each round of decisions, to batch events.
 DECISION_PAUSE_S = 0.004
 # Intervals between heartbeats of the owner and of the other daemons: a few fit
-# into the heartbeat time-outs.
+# into the heartbeat time-outs. They are longer among many daemons, where the
+# heartbeats would else cost more than the jobs.
 OWNER_HEARTBEAT_S = 0.25
 HEARTBEAT_S = 0.6
+LARGE_OWNER_HEARTBEAT_S = 0.4
+LARGE_HEARTBEAT_S = 0.8
 # Longest time that the store holds a watch open. It is short because an
 # unanswered watch is only detected after it.
 OPERATORS_WATCH_MS = 1200
@@ -54,6 +57,7 @@
 # wait: peers notify the owner of new jobs and every daemon of finished ones.
 # Workers that leave must be known within 2 s.
 STATE_PAUSE_S = 0.6
+LARGE_STATE_PAUSE_S = 1.0
 WORKERS_PAUSE_S = 0.25
 # Interval at which the owner chooses its agents anew.
 AGENTS_INTERVAL_S = 0.1
@@ -122,14 +126,17 @@
             self._on_lost,
             self._has_preferred_peer,
         )
+        self.news = news.News(self.peering)
         self.recorder = recording.Recorder(
-            self.store, self.post, self.ownership.resign, self._on_stored
+            self.store,
+            self.post,
+            self.ownership.resign,
+            self.news.handle_stored,
         )
         self.reader = reading.Reader(
             self.post, self.ownership, self.peering, self.recorder
         )
         self.live_daemons: frozenset[str] = frozenset()
-        self.origins = origins.Origins()
         self.greeted_token = 0
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
             effects.Hold: self.router.give,
@@ -161,7 +168,7 @@
                 self.store,
                 storecalls.OPERATOR_PREFIX,
                 OPERATORS_WATCH_MS,
-                0.0,
+                lambda: 0.0,
                 self.reader.load_operator_settings,
                 self.reader.apply_operator_change,
             ),
@@ -169,7 +176,7 @@
                 self.store,
                 documents.ROOT,
                 STATE_WATCH_MS,
-                STATE_PAUSE_S,
+                lambda: self._by_size(STATE_PAUSE_S, LARGE_STATE_PAUSE_S),
                 self.reader.load_state,
                 self.reader.apply_state_change,
             ),
@@ -177,7 +184,7 @@
                 self.store,
                 storecalls.WORKER_PREFIX,
                 WORKERS_WATCH_MS,
-                WORKERS_PAUSE_S,
+                lambda: WORKERS_PAUSE_S,
                 self.reader.load_workers,
                 self.reader.apply_worker_change,
                 lambda: bool(self.ownership.token),
@@ -312,9 +319,16 @@
             )
             if self.ownership.should_yield():
                 self._hand_over("a daemon on a preferred machine is in contact")
-            gevent.sleep(
-                OWNER_HEARTBEAT_S if self.ownership.token else HEARTBEAT_S
-            )
+            gevent.sleep(self._heartbeat_interval_s())
+
+    def _heartbeat_interval_s(self) -> float:
+        if self.ownership.token:
+            return self._by_size(OWNER_HEARTBEAT_S, LARGE_OWNER_HEARTBEAT_S)
+        return self._by_size(HEARTBEAT_S, LARGE_HEARTBEAT_S)
+
+    def _by_size(self, small: float, large: float) -> float:
+        """Returns one of two settings by the number of daemons."""
+        return small if self.peering.is_mesh() else large
 
     def _register(self) -> None:
         """Keeps this daemon registered in the store."""
@@ -393,22 +407,6 @@
         self.router.reset()
         self.post(events.OwnershipLost(time.monotonic(), token, reason))
 
-    def _on_stored(self, progress: dict) -> None:
-        """Notifies daemons of progress that the owner has stored.
-
-        In a large fleet all daemons are notified only of finished jobs, without
-        the progress of their steps: callers poll any daemon for the end of a
-        job. Other progress is sent only to the daemon that accepted the job.
-        """
-        if self.peering.is_mesh():
-            self.peering.broadcast(messages.StatesStored(progress))
-            return
-        over, parts = self.origins.split_by_recipient(progress)
-        if over:
-            self.peering.broadcast(messages.StatesStored(over))
-        for name, part in parts.items():
-            self.peering.send(name, messages.StatesStored(part))
-
     def _write_progress(self, effect: effects.WriteProgress) -> None:
         if self.state.owner is not None:
             self.recorder.write(self.state.owner.token, effect)
@@ -454,7 +452,7 @@
         elif isinstance(message, messages.Leaving):
             self.ownership.handle_leaving(message.token)
         elif isinstance(message, messages.JobStored):
-            self.origins.add(message.job.job_id, sender)
+            self.news.origins.add(message.job.job_id, sender)
             self.post(events.JobAccepted(now, message.job, message.revision))
         elif isinstance(message, messages.CancelStored):
             self.post(events.JobCancelled(now, message.job_id))
--- a/packages/daemon/mimosaridge_daemon/jobs/following.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/following.py
@@ -27,8 +27,8 @@
         store: The store.
         prefix: The prefix.
         wait_ms: Longest time that the store holds a watch open, milliseconds.
-        pause_s: Pause after each watch that returned changes, to batch later
-            ones.
+        pause_s: Returns the pause after each watch that returned changes, to
+            batch later ones.
         on_list: Called with all items after each list.
         on_change: Called with the latest change of each key.
         is_enabled: While it returns False the store is not called; afterwards
@@ -40,7 +40,7 @@
         store: storage.Store,
         prefix: str,
         wait_ms: int,
-        pause_s: float,
+        pause_s: Callable[[], float],
         on_list: Callable[[storecalls.Page], None],
         on_change: Callable[[storecalls.Item], None],
         is_enabled: Callable[[], bool] = lambda: True,
@@ -101,7 +101,7 @@
             self.on_change(item)
         self.advance(page, time.monotonic())
         if page.items:
-            gevent.sleep(self.pause_s)
+            gevent.sleep(self.pause_s())
         return True
 
     def advance(self, page: storecalls.Page, now: float) -> None:
--- a/packages/daemon/mimosaridge_daemon/jobs/origins.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/origins.py
@@ -27,15 +27,16 @@
 
         Returns:
             The states of finished jobs, for all daemons; and the progress of
-            other jobs by the daemon that accepted them.
+            all jobs by the daemon that accepted them.
         """
         over: Stored = {}
         parts: dict[str, Stored] = {}
         for job_id, (made, revision) in progress.items():
+            daemon = self.daemons.get(job_id, "")
             if made.state in model.FINAL_STATES:
                 self.daemons.pop(job_id, None)
-                over[job_id] = (model.Progress(made.state), revision)
-            elif job_id in self.daemons:
-                part = parts.setdefault(self.daemons[job_id], {})
-                part[job_id] = (made, revision)
+                made = model.Progress(made.state)
+                over[job_id] = (made, revision)
+            if daemon:
+                parts.setdefault(daemon, {})[job_id] = (made, revision)
         return over, parts
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -6,6 +6,7 @@
 import time
 
 import gevent
+from gevent import event as gevent_event
 import logbook
 
 from mimosaridge_core.jobs import election
@@ -17,7 +18,9 @@
 from mimosaridge_platform import storecalls
 
 LOG = logbook.Logger("owning")
-CHECK_INTERVAL_S = 0.1
+# Bounds of the time between two checks whether to claim ownership.
+MIN_CHECK_INTERVAL_S = 0.1
+MAX_CHECK_INTERVAL_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,10 +67,12 @@
         self.claim_count = 0
         self.leaving = False
         self.is_former_gone = False
+        self.is_claim_due = gevent_event.Event()
         self.rng = random.Random()
 
     def update_view(self, item: storecalls.Item | None) -> None:
         """Updates the view from the ownership key; None if it is absent."""
+        self.is_claim_due.set()
         if item is None or item.value is None:
             revision = item.revision if item is not None else 0
             if revision >= self.view.revision or not self.view.is_known:
@@ -119,7 +124,12 @@
         """
         self.yield_after_s *= election.YIELD_BACKOFF
         self.resign(token, reason)
+        self._record_end()
+
+    def _record_end(self) -> None:
+        """Records that the owner's process has ended or leaves."""
         self.view.is_gone = True
+        self.is_claim_due.set()
 
     def handle_heartbeat(self, heartbeat: messages.Beat) -> None:
         """Updates the view from a daemon's heartbeat."""
@@ -141,17 +151,17 @@
     def handle_boot(self, name: str, boot: str) -> None:
         """Handles the id of the process that runs on a machine now."""
         if name == self.view.owner and boot != self.view.boot:
-            self.view.is_gone = True
+            self._record_end()
 
     def handle_leaving(self, token: int) -> None:
         """Handles the message that an owner gives up ownership."""
         if token == self.view.revision:
-            self.view.is_gone = True
+            self._record_end()
 
     def handle_refused(self, name: str) -> None:
         """Handles a refused connection: the daemon's process has ended."""
         if name == self.view.owner:
-            self.view.is_gone = True
+            self._record_end()
 
     def owner_age_s(self) -> float:
         """Returns the time since the last contact with the owner, seconds."""
@@ -162,7 +172,7 @@
     def run(self) -> None:
         """Claims ownership whenever necessary; does not return."""
         while True:
-            gevent.sleep(CHECK_INTERVAL_S)
+            self._wait_for_check()
             if self.token or self.leaving:
                 continue
             if not self._should_claim():
@@ -174,6 +184,13 @@
             if self._should_claim() and not self.leaving:
                 self.try_to_claim()
 
+    def _wait_for_check(self) -> None:
+        """Waits until a claim may be due: an end, or the owner's silence."""
+        silent_at = election.silent_at(self.view)
+        wait_s = max(silent_at - time.monotonic(), MIN_CHECK_INTERVAL_S)
+        if self.is_claim_due.wait(min(wait_s, MAX_CHECK_INTERVAL_S)):
+            self.is_claim_due.clear()
+
     def try_to_claim(self) -> None:
         """Claims ownership; `run` retries after a malformed answer."""
         try:
--- a/packages/daemon/mimosaridge_daemon/jobs/routing.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/routing.py
@@ -32,7 +32,7 @@
 # case only the path from the agent has failed.
 DIRECT_S = 3.0
 CHECK_INTERVAL_S = 0.05
-IDLE_CHECK_INTERVAL_S = 0.5
+IDLE_CHECK_INTERVAL_S = 1.0
 # After a check that comes this late the process itself stood still, and answers
 # may lie unread: the next check decides.
 MAX_CHECK_DELAY_S = 0.25
--- a/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import gevent
+from gevent import event as gevent_event
 from gevent import os as gevent_os
 import logbook
 import prometheus_client
@@ -58,6 +59,7 @@
     def __init__(self, daemon: str, level: str) -> None:
         super().__init__(daemon, level)
         self.lines: collections.deque = collections.deque()
+        self.has_lines = gevent_event.Event()
         self.dropped = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
@@ -67,12 +69,15 @@
             DROPPED.inc()
             return
         self.lines.append(self.format(record))
+        self.has_lines.set()
 
     def run(self) -> None:
-        """Writes queued lines periodically; does not return."""
+        """Writes queued lines, a few at a time; does not return."""
         gevent_os.make_nonblocking(sys.stdout.fileno())
         while True:
+            self.has_lines.wait()
             gevent.sleep(WRITE_INTERVAL_S)
+            self.has_lines.clear()
             self.flush_lines()
 
     def flush_lines(self) -> None:
--- a/tests/daemon/jobs/test_owning.py
+++ b/tests/daemon/jobs/test_owning.py
@@ -219,3 +219,40 @@
         ownership._become_owner(11)
         ownership.view.last_contact_at -= election.YIELD_AFTER_S + 1
         self.assertFalse(ownership.should_yield())
+
+
+class ChecksTest(testtools.TestCase):
+    """When a daemon checks whether to claim."""
+
+    def _following(self):
+        ownership, _, _ = _owning()
+        ownership.update_view(_item("b", "boot-b", 5))
+        ownership.is_claim_due.clear()
+        return ownership
+
+    def test_the_end_of_the_owner_makes_a_check_due_at_once(self):
+        for end in (
+            lambda ownership: ownership.handle_refused("b"),
+            lambda ownership: ownership.handle_leaving(5),
+            lambda ownership: ownership.handle_boot("b", "boot-later"),
+        ):
+            ownership = self._following()
+            end(ownership)
+            self.assertTrue(ownership.is_claim_due.is_set())
+
+    def test_the_end_of_another_daemon_makes_none_due(self):
+        ownership = self._following()
+        ownership.handle_refused("c")
+        self.assertFalse(ownership.is_claim_due.is_set())
+
+    def test_silence_is_noticed_when_it_has_lasted_long_enough(self):
+        view = election.OwnerView(
+            is_known=True, revision=5, owner="b", last_contact_at=100.0
+        )
+        silent_at = election.silent_at(view)
+        self.assertFalse(
+            election.should_claim(view, "a", "boot-a", silent_at - 0.01)
+        )
+        self.assertTrue(
+            election.should_claim(view, "a", "boot-a", silent_at + 0.01)
+        )
--- a/tests/daemon/jobs/test_telemetry.py
+++ b/tests/daemon/jobs/test_telemetry.py
@@ -1,7 +1,9 @@
 """Tests of log lines and metrics."""
 
 import json
+from unittest import mock
 
+import gevent
 import logbook
 import testtools
 
@@ -31,6 +33,21 @@
         self.assertEqual(telemetry.MAX_QUEUED_LINES, len(handler.lines))
         self.assertEqual(5, handler.dropped)
 
+    def test_nothing_wakes_up_without_lines(self):
+        handler = telemetry.QueuedHandler("front-1", "INFO")
+        with (
+            mock.patch.object(telemetry.gevent_os, "make_nonblocking"),
+            mock.patch.object(handler, "flush_lines") as flush,
+        ):
+            running = gevent.spawn(handler.run)
+            gevent.sleep(telemetry.WRITE_INTERVAL_S * 3)
+            self.assertEqual(0, flush.call_count)
+            with handler.applicationbound():
+                logbook.info("line")
+            gevent.sleep(telemetry.WRITE_INTERVAL_S * 3)
+            running.kill()
+            self.assertEqual(1, flush.call_count)
+
     def test_decisions_are_counted_by_rule(self):
         telemetry.write_decision(effects.Decision("counted", "", "", {}))
         text = telemetry.exposition().decode()
