--- a/packages/core/mimosaridge_core/jobs/advice_calls.py
+++ b/packages/core/mimosaridge_core/jobs/advice_calls.py
@@ -105,11 +105,6 @@
     return True
 
 
-def is_pending(st: state.State, group: state.Group) -> bool:
-    """Returns whether a call about any worker is in progress."""
-    return any(until > st.now for until in group.advice_pending.values())
-
-
 def _is_requested(st: state.State, group: state.Group, worker_id: str) -> bool:
     """Returns whether a call about a worker is in progress."""
     return group.advice_pending.get(worker_id, 0.0) > st.now
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -187,8 +187,7 @@
     if advice is not None:
         _request_advice(st, owner, current, group, advice, pool, out)
     group.reserved = _workers_to_reserve(group, pool)
-    # An answer on its way may name a worker with room.
-    if not group.step.gang and not advice_calls.is_pending(st, group):
+    if not group.step.gang:
         preemption.make_room(st, owner, group, approved, out)
 
 
--- a/tests/core/jobs/test_preemption.py
+++ b/tests/core/jobs/test_preemption.py
@@ -53,6 +53,17 @@
         self.assertEqual(model.JobState.COMPLETED, world.state_of("patient"))
         self.assertEqual([], world.violations)
 
+    def test_an_urgent_job_does_not_wait_for_advice_on_other_workers(self):
+        world = _world()
+        self._fill(world, checkpoints=True)
+        world.submit("urgent", model.Step(2, CORE, 1.0))
+        owner = world.daemons[0].owner
+        group = owner.groups["urgent.0.0"]
+        group.advice_pending["other-worker"] = world.now + 60.0
+        world.run(3.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("urgent"))
+        self.assertEqual(2, len(_preemptions(world)))
+
     def test_runs_without_checkpoints_are_not_preempted(self):
         world = _world()
         self._fill(world)
