--- a/mimosaridge.py
+++ b/mimosaridge.py
@@ -22,7 +22,7 @@
 
 if __name__ == "__main__":
     # The platform starts the role hundreds of times a day; importing the
-    # library of the command line takes an eighth of such a start.
+    # library of the command line takes a tenth of such a start.
     if sys.argv[1:] == [main.ROLE]:
         main.run()
     else:
--- a/packages/core/mimosaridge_core/jobs/agents.py
+++ b/packages/core/mimosaridge_core/jobs/agents.py
@@ -16,8 +16,8 @@
 
 from mimosaridge_core import hashing
 
-# Workers for each agent. With fewer, more messages cost the owner more than the
-# calls cost an agent.
+# Workers for each agent. Each agent costs the owner a message in each round of
+# decisions.
 WORKERS_PER_AGENT = 100
 
 
