--- a/tests/daemon/jobs/test_peering.py
+++ b/tests/daemon/jobs/test_peering.py
@@ -1,5 +1,7 @@
 """Tests of which daemons get which messages, by fleet size."""
 
+import time
+
 import testtools
 
 from mimosaridge_core.jobs import model
@@ -49,6 +51,16 @@
         expected = {"d34", "d35", "d01", "d02"}
         self.assertEqual(expected, peer_links.neighbours())
 
+    def test_a_peer_that_refuses_connections_is_not_live(self):
+        peer_links = self._peering(3)
+        ended = []
+        peer_links.on_refused = ended.append
+        peer_links.peers["d01"].last_heartbeat_at = time.monotonic()
+        self.assertIn("d01", peer_links.live_daemons())
+        peer_links._handle_refused("d01")
+        self.assertNotIn("d01", peer_links.live_daemons())
+        self.assertEqual(["d01"], ended)
+
     def test_cores_are_known_before_first_heartbeat(self):
         peer_links = self._peering(3)
         peer_links.add("d01", "ws://1", 2.15)
