Log why a step waits and which teams exceed their limits

step-waits names the obstacle of a step from 2.5 s on (ten lines at a time at most), owner-status counts the owner's workers by state every 5 s, and team-over-limit says once that a team has more than its limit. Nothing is decided by them.

--- a/packages/cli/mimosaridge_cli/timeline.py
+++ b/packages/cli/mimosaridge_cli/timeline.py
@@ -20,6 +20,8 @@
     "advice": "{good} of {asked} workers may run {group}, asked by {asker}.",
     "start": "Task {task}, run {run}, starts on {worker} after {waited_s} s.",
     "start-answered": "{worker} answered run {run}: {result} {detail}",
+    "step-waits": "{waiting} tasks of {group} have waited for {waited_s} s:"
+    " {reason}.",
     "preempt": "Run {run} of {task} on {worker} was preempted for"
     " {made_room_for}; the preempted job has {slack_s} s of slack.",
     "ended": "Run {run} of {task} on {worker} ended: {how} {why_stopped}",
@@ -32,10 +34,17 @@
     "worker-flaps": "{worker} stops and returns repeatedly; no starts for"
     " {rest_s} s.",
     "worker-stalled": "Runs on {worker} make no progress; {moved} are moved.",
+    "team-over-limit": "Team {team} uses {usage}, more than its limit {limit}.",
     "progress-unwritten": "Progress write {batch} failed and is retried.",
 }
 # Rules of decisions that concern no single job but may explain a delay.
-CONTEXT_RULES = ("owner", "owner-lost", "worker-lost", "lease-over")
+CONTEXT_RULES = (
+    "owner",
+    "owner-lost",
+    "worker-lost",
+    "lease-over",
+    "team-over-limit",
+)
 
 
 class _Placeholder(dict):
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -71,7 +71,7 @@
     if not due:
         return
     current = PlacementPass(
-        _usable_workers(st, owner),
+        usable_workers(st, owner),
         freed,
         _examine_interval_s(len(waiting)),
         has_idle_asker,
@@ -118,7 +118,7 @@
     return not group.needs_ticket or not freed.isdisjoint(group.tickets)
 
 
-def _usable_workers(
+def usable_workers(
     st: state.State, owner: state.Owner
 ) -> dict[str, dict[str, state.Worker]]:
     """Returns the workers that can take starts, by back end and id."""
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -166,6 +166,7 @@
         needs_ticket: Whether its queue requires tickets.
         reserved: Workers reserved for its waiting tasks, which are large.
         failed_on: Workers on which a task failed, by index.
+        explained_at: When the log last explained why it waits.
         remaining_work_s: Declared critical path from it to the end of the job,
             seconds.
         job_work_s: Declared critical path of the whole job, seconds.
@@ -191,6 +192,7 @@
     needs_ticket: bool = False
     reserved: frozenset[str] = frozenset()
     failed_on: dict[int, set[str]] = dataclasses.field(default_factory=dict)
+    explained_at: float = 0.0
     remaining_work_s: float = 0.0
     job_work_s: float = 0.0
 
@@ -272,6 +274,9 @@
         asked: Number of calls for advice made.
         freed: Workers on which runs have ended since the last placement.
         stops_checked_at: When unanswered stops were last checked.
+        explain_at: When the log next explains what waits.
+        status_at: When the log next describes the owner.
+        exceeded: Teams whose usage exceeds their upper limit.
     """
 
     token: int
@@ -307,6 +312,9 @@
     asked: int = 0
     freed: set[str] = dataclasses.field(default_factory=set)
     stops_checked_at: float = 0.0
+    explain_at: float = 0.0
+    status_at: float = 0.0
+    exceeded: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/jobs/ticking.py
+++ b/packages/core/mimosaridge_core/jobs/ticking.py
@@ -7,6 +7,7 @@
 from mimosaridge_core.jobs import holds
 from mimosaridge_core.jobs import placement
 from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import waiting
 from mimosaridge_core.jobs import work
 from mimosaridge_core.jobs import writing
 
@@ -24,6 +25,7 @@
     answers.check(st, owner, out)
     placement.place_waiting_tasks(st, owner, out)
     writing.write_due(st, owner, out)
+    waiting.check(st, owner, out)
 
 
 def _open_repetitions(st: state.State, owner: state.Owner, out: list) -> None:
