Write a fleet in doubt again until a write of it is confirmed

Cause: an owner starts tasks only on workers that are open for starts in the stored fleet and in each fleet whose write got no answer. It wrote a fleet only if it differed from the confirmed one. Workers that were out of reach while the store was down made it write a fleet without them; that write failed; they came back; the fleet was the confirmed one again, so nothing was written, and the failed write kept them closed until some worker came or went.

Why it works: a confirmed write settles all before it, since each write expects the item's revision; as long as a fleet is in doubt, one is due.

Looked for elsewhere: progress in doubt is always marked dirty again; removals stay listed as finished; claims are read back; registrations are retried.

--- a/packages/core/mimosaridge_core/jobs/writing.py
+++ b/packages/core/mimosaridge_core/jobs/writing.py
@@ -28,11 +28,12 @@
     jobs = [job for _, job in due[: tunables.JOBS_PER_WRITE]]
     ends = _unstored_ends(owner) if len(jobs) == len(due) else {}
     fleet = fleets.current_fleet(st, owner)
-    fleet_changed = fleet != owner.fleet
+    # A fleet in doubt keeps workers closed until another write is confirmed.
+    is_fleet_due = fleet != owner.fleet or bool(owner.fleets_in_doubt)
     removed: tuple[str, ...] = ()
     if not jobs:
         removed = _expired(st, owner)
-    if not jobs and not removed and not fleet_changed:
+    if not jobs and not removed and not is_fleet_due:
         _acknowledge(st, owner, ends, out)
         return
     owner.batch += 1
@@ -41,7 +42,7 @@
     }
     owner.noting = ends
     owner.pending_fleet = None
-    if fleet_changed:
+    if is_fleet_due:
         owner.pending_fleet = fleet
         if fleet not in owner.fleets_in_doubt:
             owner.fleets_in_doubt.append(fleet)
