Take the refusal of a repeated start for unanswered

What callers could see: a task that ran twice at a time, and a team above its limit (TWICE, QUOTA), in fleets with agents (more than nine daemons).

Cause: when an agent fails, the owner gives its orders to the workers directly. If that second call was refused or could not connect, the owner released the run at once, though the agent's call may have been carried out, or may be for another 1.5 s; the task started elsewhere, and its first run was not counted. Same class as a take-over: room and usage released while a run may still run.

Counted as unanswered, the run is stopped first, which makes a late start fail, and its room is released when the worker's list shows that it is gone.

--- a/packages/daemon/mimosaridge_daemon/jobs/routing.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/routing.py
@@ -1,8 +1,8 @@
 """Routes the owner's orders to workers: through agents or directly.
 
 An order whose agent fails is given to the worker directly. That is safe: a
-worker takes the same start, stop or hold twice as once, and the first answer
-counts.
+worker takes the same start, stop or hold twice as once. The answer to the
+second call counts; if it refuses a start, the first may still be carried out.
 """
 
 from collections.abc import Callable
@@ -177,12 +177,12 @@
         )
         for number, pending in taken:
             del self.pending[number]
-            self._call_directly(pending.order)
+            self._repeat(pending.order)
 
-    def _call_directly(self, order: workerlinks.Order) -> None:
+    def _repeat(self, order: workerlinks.Order) -> None:
         # Orders of a former ownership are not repeated.
         if order.token == self.token():
-            self.links.give(order)
+            self.links.repeat(order)
 
     def reset(self) -> None:
         """Forgets all orders when ownership ends."""
@@ -219,4 +219,4 @@
             if now > pending.due_at:
                 del self.pending[number]
                 self.direct_until[pending.order.worker_id] = now + DIRECT_S
-                self._call_directly(pending.order)
+                self._repeat(pending.order)
--- a/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
@@ -25,6 +25,13 @@
 Order = effects.Hold | effects.Start | effects.Stop
 Answer = events.HoldAnswered | events.StartAnswered | events.StopAnswered
 
+# Results of a call that was not carried out.
+NOT_DONE = (
+    events.CallResult.REFUSED,
+    events.CallResult.NO_TICKET,
+    events.CallResult.UNHEALTHY,
+)
+
 
 def timeout_s(order: Order) -> float:
     """Returns how long a worker may take to answer an order, seconds."""
@@ -68,9 +75,23 @@
         """Calls a worker and posts its answer; returns at once."""
         gevent.spawn(self._call_and_post, order)
 
+    def repeat(self, order: Order) -> None:
+        """Calls a worker with an order that an agent may also carry out.
+
+        A start that the worker did not carry out this time may already have
+        been carried out, or may be later, so it counts as unanswered.
+        """
+        gevent.spawn(self._repeat_and_post, order)
+
     def _call_and_post(self, order: Order) -> None:
         self.post(self.call(order))
 
+    def _repeat_and_post(self, order: Order) -> None:
+        answer = self.call(order)
+        if isinstance(order, effects.Start) and answer.result in NOT_DONE:
+            answer.result = events.CallResult.UNKNOWN
+        self.post(answer)
+
     def call(self, order: Order) -> Answer:
         """Calls a worker and returns its answer, or the failure."""
         if isinstance(order, effects.Hold):
--- a/tests/daemon/jobs/test_routing.py
+++ b/tests/daemon/jobs/test_routing.py
@@ -35,6 +35,9 @@
     def give(self, order):
         self.given.append(order)
 
+    def repeat(self, order):
+        self.given.append(order)
+
     def call(self, order):
         self.given.append(order)
         return workerlinks.answer_to(order, events.CallResult.DONE)
