Tell writes of a former ownership from those of the present one

What callers could see: a job shown as completed although its end was not stored, and after the next crash run again (LOST, TWICE).

Cause: each ownership numbered its writes from 1, and the result of a write carries only that number. A daemon that lost ownership and won it again within the time of a write took the result of the former write for that of the one in flight, counted its contents as stored, and let workers forget their ends.

Numbers now begin at a multiple of the fencing token, as those of runs do.

--- a/packages/core/mimosaridge_core/jobs/writing.py
+++ b/packages/core/mimosaridge_core/jobs/writing.py
@@ -15,6 +15,9 @@
 
 # Most finished jobs deleted in one write; each has three items.
 REMOVED_PER_WRITE = 5
+# Numbers of writes available to one owner. The next owner has a higher fencing
+# token, so the answer to a write of a former ownership matches none of its own.
+WRITES_PER_OWNER = 10_000_000
 # Pause after a failed write, seconds: a few retries fit into the second for
 # which the store may be unavailable.
 RETRY_S = 0.15
@@ -36,7 +39,7 @@
     if not jobs and not removed and not is_fleet_due:
         _acknowledge(st, owner, ends, out)
         return
-    owner.batch += 1
+    owner.batch = max(owner.batch, owner.token * WRITES_PER_OWNER) + 1
     owner.pending_states = {
         job: st.table[job].progress.state for job in jobs if job in st.table
     }
