Check upper limits of teams on each start in the simulated cluster

The checks of the simulated cluster knew no upper limits, so no test could notice a start that brings a team above its limit. Each start now counts the team's runs on all workers that are up, also those cut off, against the largest limit of the configurations that may be in force.

--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -30,6 +30,8 @@
 # Range of the delay with which a late call is executed.
 LATE_CALL_DELAY_S = (2.0, 12.0)
 LONGEST_DOUBLE_S = 6.0
+# A replaced configuration may stay in force for this time.
+CONFIGURATION_APPLY_S = 2.0
 BACKEND = "registry"
 QUEUE = "enquiries"
 
@@ -78,6 +80,8 @@
         self.violations: list[str] = []
         self.starts: list[effects.Start] = []
         self.decisions: list[effects.Decision] = []
+        self.team_of_job: dict[str, str] = {}
+        self.configurations: list[tuple[float, model.Configuration]] = []
         self.done: set[str] = set()
         self.acknowledged: set[str] = set()
         self.durations: dict[str, float] = {}
@@ -108,6 +112,7 @@
 
     def configure(self, configuration: model.Configuration) -> None:
         """Delivers a configuration to all daemons."""
+        self.configurations.append((self.now, configuration))
         for number in range(len(self.daemons)):
             self.deliver(
                 number, events.ConfigurationChanged(self.now, configuration)
@@ -186,6 +191,7 @@
             job_id, queue, backend, team, "text", steps, self.now, **fields
         )
         self.jobs[job_id] = (job, self.revision)
+        self.team_of_job[job_id] = team
         for number in range(len(self.daemons)):
             self.deliver(
                 number, events.JobAccepted(self.now, job, self.revision)
@@ -469,6 +475,7 @@
         if order.task_id in self.acknowledged:
             self.violations.append(f"TWICE after done {where}")
         job_id, repetition, _, _ = model.parse_task_id(order.task_id)
+        self._check_team_limit(self.team_of_job[job_id], where)
         for earlier_step in step.after:
             tasks = self.jobs[job_id][0].steps[earlier_step].tasks
             for index in range(tasks):
@@ -480,6 +487,46 @@
                         f"ORDER {where} before {earlier_task}"
                     )
 
+    def _check_team_limit(self, team: str, where: str) -> None:
+        """Records a start that brings a team above its upper limit.
+
+        The largest of the limits that may be in force counts, per resource.
+        """
+        teams = [
+            configuration.teams.get(team)
+            for configuration in self._configurations_in_force()
+        ]
+        limits = [entry.upper_limit for entry in teams if entry is not None]
+        if not any(limit != resources.ZERO for limit in limits):
+            return
+        running = resources.total(
+            [
+                run.needs
+                for worker in self.workers.values()
+                if worker.is_up
+                for run in worker.running.values()
+                if self.team_of_job[run.task_id.partition(".")[0]] == team
+            ]
+        )
+        for name in resources.NAMES:
+            amounts = [getattr(limit, name) for limit in limits]
+            if all(amounts) and getattr(running, name) > max(amounts):
+                self.violations.append(
+                    f"QUOTA {where}: {team} has {getattr(running, name)} "
+                    f"{name} running; it may have {max(amounts)}"
+                )
+
+    def _configurations_in_force(self) -> list[model.Configuration]:
+        """Returns the latest configuration and those replaced just before."""
+        replaced_at = [at for at, _ in self.configurations[1:]]
+        return [
+            configuration
+            for (_, configuration), until in zip(
+                self.configurations, [*replaced_at, self.now], strict=True
+            )
+            if until + CONFIGURATION_APPLY_S > self.now
+        ]
+
     def _record_completions(self, worker: jobworkers.Worker) -> None:
         for row in worker.ended:
             if row.how == model.RunOutcome.DONE:
