Count what may run on workers not yet held toward teams' limits

Callers saw: a team had more running than its upper limit.

Cause: a new owner counted only runs on workers that it held. Runs on workers that were cut off or had not answered, and starts that the displaced owner still made there, counted toward no team. Only the jobs that may run on such a worker were delayed; other jobs of the same team started at once.

Evidence, on the code before: with an upper limit of 4 cores and 4 cores running on a worker that is cut off before a change of owner, "QUOTA j2.0.0.3 run on w1: a has 8000 cpu_millis running; it may have 4000"; the same with a worker that has left the list, with a cancelled job, and with starts of the displaced owner.

Fix: while workers are not held, each team with an upper limit is charged an upper bound of what may run there: its tasks that are neither done nor counted (of steps that depend on each other only the largest), at most the capacity of these workers; on a worker closed for starts only the jobs stored for it. The charge ends when the worker is held, or when its last lease is certainly over. Teams without a limit are not affected. Jobs keep the time at which they were first seen to be final, so that long finished ones are not charged.

--- a/packages/core/mimosaridge_core/jobs/fleets.py
+++ b/packages/core/mimosaridge_core/jobs/fleets.py
@@ -43,6 +43,19 @@
     return worker.closed_jobs
 
 
+def backends_of(st: state.State, entry: state.JobEntry) -> frozenset[str]:
+    """Returns the back ends whose workers may run tasks of a job.
+
+    Besides the queue's current back end, that is the one on the job's
+    acceptance.
+    """
+    queue = None
+    if st.configuration is not None:
+        queue = st.configuration.queues.get(entry.job.queue)
+    current = queue.backend if queue is not None else entry.job.backend
+    return frozenset((entry.job.backend, current))
+
+
 def may_run_on_unheld(owner: state.Owner, entry: state.JobEntry) -> bool:
     """Returns whether tasks of a job may run on a worker not yet held.
 
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -213,6 +213,8 @@
         progress_revision: Store revision of the progress; 0 if none is stored.
         cancelled: Whether a cancellation is stored.
         seen_at: When this daemon first saw the job.
+        final_at: When this daemon first saw it cancelled, failed or completed;
+            0 if it has not.
         stored_state: Its state in the store.
     """
 
@@ -222,6 +224,7 @@
     progress_revision: int = 0
     cancelled: bool = False
     seen_at: float = 0.0
+    final_at: float = 0.0
     stored_state: model.JobState = model.JobState.QUEUED
 
     @property
@@ -263,6 +266,9 @@
             workers were lost.
         unheld_jobs: Jobs whose tasks an unheld worker may run, by worker; only
             for workers that were closed for starts.
+        unheld_usage: Most that each team may have running on unheld workers;
+            None if it must be computed again.
+        unheld_usage_until: When it must be computed again at the latest.
         fleet: The stored fleet; None if this owner has not stored it yet.
         pending_fleet: The fleet in the write in flight; None if unchanged.
         fleets_in_doubt: Fleets written without a confirmation since the last
@@ -301,6 +307,8 @@
     unheld_jobs: dict[str, tuple[str, ...]] = dataclasses.field(
         default_factory=dict
     )
+    unheld_usage: dict[str, resources.Resources] | None = None
+    unheld_usage_until: float = 0.0
     fleet: model.Fleet | None = None
     pending_fleet: model.Fleet | None = None
     fleets_in_doubt: list[model.Fleet] = dataclasses.field(default_factory=list)
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -8,6 +8,7 @@
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
+from mimosaridge_core.jobs import unheldusage
 from mimosaridge_core.jobs import work
 
 
@@ -21,6 +22,8 @@
     if old is not None and new.version <= old.version:
         return
     st.configuration = new
+    if st.owner is not None:
+        unheldusage.invalidate(st.owner)
     effects.log_decision(
         out,
         "configuration",
@@ -111,6 +114,7 @@
     entry = state.JobEntry(job, revision, seen_at=st.now)
     st.table[job.job_id] = entry
     if st.owner is not None:
+        unheldusage.invalidate(st.owner)
         work.add_job(st, st.owner, entry, out)
 
 
@@ -119,6 +123,7 @@
     if entry is None or entry.cancelled:
         return
     entry.cancelled = True
+    entry.final_at = entry.final_at or st.now
     if st.owner is not None:
         stopping.cancel_job(st, st.owner, entry, out)
 
@@ -136,7 +141,7 @@
     progress, revision = event.progress.get(job_id, (model.Progress(), 0))
     entry = st.table[job_id]
     if st.owner is None and revision >= entry.progress_revision:
-        _set_progress(entry, progress, revision)
+        _set_progress(st, entry, progress, revision)
 
 
 def _store_progress(
@@ -147,12 +152,19 @@
     if entry is None or st.owner is not None:
         return
     if revision > entry.progress_revision:
-        _set_progress(entry, progress, revision)
+        _set_progress(st, entry, progress, revision)
 
 
 def _set_progress(
-    entry: state.JobEntry, progress: model.Progress, revision: int
+    st: state.State,
+    entry: state.JobEntry,
+    progress: model.Progress,
+    revision: int,
 ) -> None:
+    if progress.state in model.FINAL_STATES:
+        entry.final_at = entry.final_at or st.now
+    elif not entry.cancelled:
+        entry.final_at = 0.0
     entry.progress = progress
     entry.progress_revision = revision
     entry.stored_state = progress.state
--- a/packages/core/mimosaridge_core/jobs/teamlimits.py
+++ b/packages/core/mimosaridge_core/jobs/teamlimits.py
@@ -2,6 +2,7 @@
 
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import unheldusage
 
 
 def allowed_tasks(
@@ -13,10 +14,11 @@
 ) -> int:
     """Returns how many of the tasks the team's upper limit still allows."""
     team = st.configuration.teams.get(entry.job.team)
-    if team is None:
+    if team is None or team.upper_limit == resources.ZERO:
         return requested
-    used = owner.usage.get(entry.job.team, resources.ZERO)
     limit = team.upper_limit
+    used = owner.usage.get(team.name, resources.ZERO)
+    used = used + unheldusage.usage(st, owner, team.name)
     for limit_amount, used_amount, task_amount in (
         (limit.cpu_millis, used.cpu_millis, needs.cpu_millis),
         (limit.memory_mib, used.memory_mib, needs.memory_mib),
--- a/packages/core/mimosaridge_core/jobs/work.py
+++ b/packages/core/mimosaridge_core/jobs/work.py
@@ -177,6 +177,7 @@
     """Sets the final state of a job; the caller must stop its runs."""
     job_id = entry.job.job_id
     entry.progress.state = final
+    entry.final_at = entry.final_at or st.now
     for key in owner.jobs.pop(job_id, set()):
         owner.groups.pop(key, None)
     owner.finished[job_id] = st.now
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -1,5 +1,7 @@
 """Upper limits of teams, also beside a change of owner."""
 
+import dataclasses
+
 import testtools
 
 from mimosaridge_core import resources
@@ -19,6 +21,20 @@
     return world
 
 
+def _two_back_ends():
+    """Returns a world whose queue "other" has a back end with worker w1."""
+    world = _world(workers=1)
+    world.add_worker("w1", backend="other")
+    before = world.configurations[-1][1]
+    other = dataclasses.replace(
+        before.queues[jobclusters.QUEUE], name="other", backend="other"
+    )
+    queues = {**before.queues, "other": other}
+    world.configure(dataclasses.replace(before, version=3, queues=queues))
+    world.run(2.5)
+    return world
+
+
 def _running(world):
     return sum(
         len(worker.running) for worker in world.workers.values() if worker.is_up
@@ -49,3 +65,118 @@
         world.run(0.5)
         self.assertEqual(4, _running(world))
         self.assertEqual([], world.violations)
+
+
+class TakeOverTest(testtools.TestCase):
+    """Workers that a new owner does not hold yet may run a team's tasks."""
+
+    def _cut_and_take_over(self, cut_s, step=None, **options):
+        """Cuts off the worker of a job; another daemon takes over."""
+        world = _world(workers=2, **options)
+        world.submit("j1", step or model.Step(4, CORE, 30.0))
+        world.run(0.5)
+        world.workers[world.starts[0].worker_id].is_reachable = False
+        world.run(cut_s)
+        world.frozen.add(0)
+        world.claim(1)
+        return world
+
+    def test_runs_on_a_cut_off_worker_count_toward_the_limit(self):
+        for cut_s in (0.0, 0.5, 2.3, 2.7):
+            for submitted_s in (0.0, 0.6, 1.2, 2.0):
+                world = self._cut_and_take_over(cut_s)
+                world.run(submitted_s)
+                world.submit("j2", model.Step(4, CORE, 30.0))
+                world.run(10.0)
+                self.assertEqual([], world.violations, (cut_s, submitted_s))
+
+    def test_runs_on_a_cut_off_worker_no_longer_listed_count(self):
+        world = self._cut_and_take_over(0.5, daemons=3)
+        for worker_id, worker in world.workers.items():
+            if not worker.is_reachable:
+                world.unlist_worker(worker_id)
+        world.frozen = {0, 1}
+        world.claim(2)
+        world.run(2.1)
+        world.submit("j2", model.Step(4, CORE, 30.0))
+        world.run(10.0)
+        self.assertEqual([], world.violations)
+
+    def test_starts_of_a_displaced_owner_count_toward_the_limit(self):
+        world = _two_back_ends()
+        # The new owner's first call to the worker gets no answer.
+        world.workers["w0"].is_reachable = False
+        world.claim(1)
+        world.workers["w0"].is_reachable = True
+        world.submit("j1", model.Step(4, CORE, 30.0))
+        world.run(0.04)
+        world.submit(
+            "j2", model.Step(4, CORE, 30.0), queue="other", backend="other"
+        )
+        world.run(10.0)
+        self.assertEqual(4, _running(world))
+        self.assertEqual([], world.violations)
+
+    def test_a_limited_team_waits_no_longer_than_the_former_lease(self):
+        world = self._cut_and_take_over(0.5)
+        world.run(2.1)
+        world.submit("j2", model.Step(4, CORE, 1.0))
+        world.run(0.5)
+        self.assertEqual(4, len(world.starts))
+        world.run(5.5)
+        self.assertEqual([], world.violations)
+        self.assertGreater(len(world.starts), 4)
+
+    def test_a_team_without_a_limit_does_not_wait(self):
+        world = self._cut_and_take_over(0.5)
+        free = dataclasses.replace(
+            world.configurations[-1][1].teams["a"],
+            name="b",
+            upper_limit=resources.ZERO,
+        )
+        teams = {**world.configurations[-1][1].teams, "b": free}
+        world.configure(
+            dataclasses.replace(
+                world.configurations[-1][1], version=3, teams=teams
+            )
+        )
+        world.run(2.1)
+        world.submit("j2", model.Step(4, CORE, 30.0), team="b")
+        world.run(0.5)
+        self.assertEqual(8, len(world.starts))
+
+    def test_a_limit_with_room_for_the_cut_off_runs_does_not_wait(self):
+        world = self._cut_and_take_over(
+            0.5, limit=resources.Resources(8000, 0, 0)
+        )
+        world.run(2.1)
+        world.submit("j2", model.Step(4, CORE, 30.0))
+        world.run(0.5)
+        self.assertEqual(8, len(world.starts))
+        self.assertEqual([], world.violations)
+
+    def test_only_the_largest_of_dependent_steps_counts(self):
+        world = _world(workers=2, limit=resources.Resources(6000, 0, 0))
+        world.submit(
+            "j1",
+            model.Step(4, CORE, 30.0),
+            model.Step(3, CORE, 30.0, after=(0,)),
+        )
+        world.run(0.5)
+        world.workers[world.starts[0].worker_id].is_reachable = False
+        world.frozen.add(0)
+        world.claim(1)
+        world.run(2.1)
+        world.submit("j2", model.Step(4, CORE, 30.0))
+        world.run(0.5)
+        self.assertEqual(6, len(world.starts))
+        self.assertEqual([], world.violations)
+
+    def test_runs_of_a_cancelled_job_on_a_cut_off_worker_count(self):
+        world = self._cut_and_take_over(0.5)
+        world.cancel("j1")
+        world.run(2.1)
+        world.submit("j2", model.Step(4, CORE, 30.0))
+        world.run(10.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(8, len(world.starts))
