Keep the runs of a worker when its entry arrives late or out of order

Callers saw: a team had more running than its upper limit; tasks ran twice.

Cause: an entry of a worker with another start time than the last entry ended all runs of that worker in the owner's records, even if the incarnation that answers holds was newer than both, or the one that the entry is about. A worker that restarts often answers before its entry arrives; the list that is read after a claim may arrive after newer changes; an entry of another writer may have no start time. The tasks then started elsewhere while they ran on.

Evidence, on the code before: 3 tasks on the new incarnation, then its entry arrives: "TWICE j1.0.0.2 run on w1: ['w0', 'w1']" and "QUOTA j1.0.0.2 run on w1: a has 6000 cpu_millis running; it may have 4000". The same with an older entry in a list, and with an entry without a start time.

Fix: an entry of the incarnation that answers holds ends nothing, and one with an earlier start time is not used while that incarnation is held. If the clock of a worker went back, the incarnation's answer, or the end of the lease of the one before, makes its entry be used.

--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -82,10 +82,16 @@
     if worker is None:
         worker = state.Worker(entry)
         owner.workers[worker_id] = worker
-    elif (entry.born, entry.address) != (
-        worker.entry.born,
-        worker.entry.address,
-    ):
+    elif _is_older(worker, entry):
+        effects.log_decision(
+            out,
+            "worker-entry-older",
+            worker=worker_id,
+            born=entry.born,
+            answered_born=worker.born,
+        )
+        return
+    elif _is_other_incarnation(worker, entry):
         reset_worker(st, owner, worker, out)
     worker.entry = entry
     worker.listed = True
@@ -93,6 +99,29 @@
         send_hold(st, owner, worker, out)
 
 
+def _is_older(worker: state.Worker, entry: model.WorkerEntry) -> bool:
+    """Returns whether an entry is older than the incarnation that answers.
+
+    A list of workers may arrive after changes that are newer than it.
+    """
+    return worker.held and entry.born < worker.born
+
+
+def _is_other_incarnation(
+    worker: state.Worker, entry: model.WorkerEntry
+) -> bool:
+    """Returns whether an entry stands for an incarnation not known before.
+
+    The incarnation that answers holds may be newer than the last entry.
+    """
+    if worker.held and worker.born and entry.born == worker.born:
+        return False
+    return (entry.born, entry.address) != (
+        worker.entry.born,
+        worker.entry.address,
+    )
+
+
 def reset_worker(
     st: state.State, owner: state.Owner, worker: state.Worker, out: list
 ) -> None:
@@ -104,6 +133,8 @@
         runs.mark_lost(st, owner, worker, run, out)
     was_held = worker.held
     worker.held = False
+    # An entry that seemed older may be that of the next incarnation.
+    worker.entry = st.entries.get(worker.entry.worker_id, worker.entry)
     worker.processed_end = 0
     worker.acknowledged_end = 0
     worker.clock_at = 0.0
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -8,6 +8,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_fakes import jobclusters
+from mimosaridge_fakes import jobworkers
 
 CORE = resources.Resources(1000, 100, 0)
 LIMIT = resources.Resources(4000, 0, 0)
@@ -180,3 +181,74 @@
         world.run(10.0)
         self.assertEqual([], world.violations)
         self.assertEqual(8, len(world.starts))
+
+
+class EntryOrderTest(testtools.TestCase):
+    """Entries of workers that arrive late or out of order."""
+
+    def _restart_with_runs(self):
+        """Restarts a worker; the owner starts tasks on the new incarnation."""
+        world = _world(workers=2)
+        # The other worker has no room.
+        world.submit("j0", model.Step(1, resources.Resources(100, 4096), 30.0))
+        world.run(0.5)
+        full = world.starts[0].worker_id
+        restarted = "w1" if full == "w0" else "w0"
+        old = world.workers[restarted].entry
+        new = dataclasses.replace(old, born=old.born + 1)
+        world.workers[restarted] = jobworkers.Worker(new)
+        world.run(1.5)
+        world.deliver(0, events.WorkerChanged(world.now, restarted, new))
+        world.submit("j1", model.Step(3, CORE, 30.0))
+        world.run(0.5)
+        self.assertEqual(4, len(world.starts))
+        # Now it has room.
+        world.cancel("j0")
+        world.run(0.5)
+        return world, old, new
+
+    def _assert_one_run_of_each_task(self, world):
+        world.run(3.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(4, len(world.starts))
+
+    def test_an_older_entry_after_a_newer_one_ends_no_runs(self):
+        world, old, new = self._restart_with_runs()
+        listed = {worker_id: w.entry for worker_id, w in world.workers.items()}
+        listed[old.worker_id] = old
+        world.deliver(0, events.WorkersListed(world.now, listed))
+        world.run(0.5)
+        world.deliver(0, events.WorkerChanged(world.now, new.worker_id, new))
+        self._assert_one_run_of_each_task(world)
+
+    def test_an_entry_without_a_start_time_ends_no_runs(self):
+        world, old, _ = self._restart_with_runs()
+        odd = dataclasses.replace(old, born=0)
+        world.deliver(0, events.WorkerChanged(world.now, old.worker_id, odd))
+        self._assert_one_run_of_each_task(world)
+
+    def test_an_entry_of_the_incarnation_that_answered_ends_no_runs(self):
+        world = _world(workers=2)
+        old = world.workers["w0"].entry
+        new = dataclasses.replace(old, born=old.born + 1)
+        world.workers["w0"] = jobworkers.Worker(new)
+        world.run(1.5)
+        world.submit("j1", model.Step(3, CORE, 30.0))
+        world.run(0.5)
+        world.deliver(0, events.WorkerChanged(world.now, "w0", new))
+        world.run(3.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(3, len(world.starts))
+
+    def test_an_incarnation_that_seems_older_is_used_after_the_lease(self):
+        world = _world(workers=1)
+        old = world.workers["w0"].entry
+        new = dataclasses.replace(old, born=old.born - 1, address="w0:81")
+        world.workers["w0"].is_reachable = False
+        world.deliver(0, events.WorkerChanged(world.now, "w0", new))
+        world.run(5.0)
+        world.workers["w0"] = jobworkers.Worker(new)
+        world.submit("j1", model.Step(3, CORE, 1.0))
+        world.run(3.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertEqual({"w0:81"}, {start.address for start in world.starts})
