Count adopted runs whose job is not known yet

Callers saw: a team had more running than its upper limit; beside it, a worker over its capacity and tasks that ran twice.

Cause: a run that a new owner finds on a worker counted nothing, neither to a team nor on its worker, if its job was not in the table. The displaced owner may have heard of a job before the new owner did. When the job became known, nothing counted the run, and its task was started again while the run was being stopped.

Evidence, on the code before: with 4 such runs, a limit of 4 cores and another job of the team, "QUOTA j2.0.0.3 run on w1: a has 8000 cpu_millis running; it may have 4000", "LIMIT j2.0.0.0 run on w0", and when the job becomes known "TWICE j1.0.0.0 run on w0: ['w0', 'w0']".

Fix: until its job is known, such a run counts as the capacity of its worker, there and toward each team with an upper limit; it is being stopped, so that lasts no longer than a stop. When the job becomes known, the run gets its team and its needs and belongs to its task. Ids that are no task ids count nothing.

--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -42,7 +42,7 @@
         row.task_id,
         row.run,
         worker.entry.worker_id,
-        "",
+        state.UNKNOWN_TEAM,
         resources.ZERO,
         state.Phase.RUNNING,
         st.now,
@@ -51,16 +51,64 @@
         percent=row.percent,
         percent_at=st.now,
     )
-    location = _locate_task(st, row.task_id)
+    _describe(st, worker, run)
+    add(owner, worker, run)
+    _attach(st, owner, worker, run, out)
+
+
+def recognize(
+    st: state.State, owner: state.Owner, job_id: str, out: list
+) -> None:
+    """Counts the runs that were adopted before their job was known."""
+    unknown = owner.usage.get(state.UNKNOWN_TEAM, resources.ZERO)
+    if unknown == resources.ZERO:
+        return
+    for worker in owner.workers.values():
+        for run in list(worker.runs.values()):
+            is_unknown = run.team == state.UNKNOWN_TEAM
+            if is_unknown and run.task_id.partition(".")[0] == job_id:
+                remove(owner, worker, run)
+                _describe(st, worker, run)
+                add(owner, worker, run)
+                _attach(st, owner, worker, run, out)
+
+
+def _describe(st: state.State, worker: state.Worker, run: state.Run) -> None:
+    """Sets the team and the needs of an adopted run.
+
+    Until the job of the run is known, it may occupy the whole worker.
+    """
+    location = _locate_task(st, run.task_id)
     if location is not None:
-        entry, repetition, number, index = location
+        entry, _, number, _ = location
         run.team = entry.job.team
         run.needs = work.reserved_resources(entry.job.steps[number])
         run.is_latency_sensitive = entry.job.steps[number].target_ms > 0
         run.fills = entry.job.steps[number].fills
-    add(owner, worker, run)
+    elif _is_task_id(run.task_id):
+        run.needs = worker.entry.capacity
+
+
+def _is_task_id(text: str) -> bool:
+    try:
+        model.parse_task_id(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _attach(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    run: state.Run,
+    out: list,
+) -> None:
+    """Adds an adopted run to its group, or stops it if it is not needed."""
+    location = _locate_task(st, run.task_id)
     is_needed = False
-    if location is not None and entry.job.job_id in owner.jobs:
+    if location is not None and location[0].job.job_id in owner.jobs:
+        entry, repetition, number, index = location
         is_needed = not work.is_step_done(entry, repetition, number)
         is_needed = (
             is_needed
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -6,6 +6,10 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import model
 
+# Team of the runs of jobs that are not in the table. Jobs of public queues may
+# have the empty string.
+UNKNOWN_TEAM = None
+
 
 class Phase(enum.StrEnum):
     """Phase of a run, as far as the owner knows."""
@@ -24,7 +28,8 @@
         task_id: Id of the task.
         run: Number of the run.
         worker_id: Id of the worker.
-        team: Team whose usage includes the run.
+        team: Team whose usage includes the run; `UNKNOWN_TEAM` if its job is
+            not in the table.
         needs: Resources that it occupies on the worker.
         phase: Current phase.
         started_at: When the owner sent the start or first saw the run.
@@ -43,7 +48,7 @@
     task_id: str
     run: int
     worker_id: str
-    team: str
+    team: str | None
     needs: resources.Resources
     phase: Phase
     started_at: float
@@ -250,7 +255,8 @@
             the time until which they may run tasks.
         groups: Groups by key.
         jobs: Keys of the groups of each unfinished job, by job id.
-        usage: Resources that each team's runs occupy.
+        usage: Resources that each team's runs occupy; includes those of
+            `UNKNOWN_TEAM`.
         runs: Number of runs that this owner has started.
         dirty: Jobs whose progress must be written, with the due time.
         batch: Number of the latest write.
@@ -292,7 +298,7 @@
     unheld: dict[str, float] = dataclasses.field(default_factory=dict)
     groups: dict[str, Group] = dataclasses.field(default_factory=dict)
     jobs: dict[str, set[str]] = dataclasses.field(default_factory=dict)
-    usage: dict[str, resources.Resources] = dataclasses.field(
+    usage: dict[str | None, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
     runs: int = 0
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -6,6 +6,7 @@
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import runs
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
 from mimosaridge_core.jobs import unheldusage
@@ -116,6 +117,7 @@
     if st.owner is not None:
         unheldusage.invalidate(st.owner)
         work.add_job(st, st.owner, entry, out)
+        runs.recognize(st, st.owner, job.job_id, out)
 
 
 def _cancel(st: state.State, job_id: str, out: list) -> None:
--- a/packages/core/mimosaridge_core/jobs/teamlimits.py
+++ b/packages/core/mimosaridge_core/jobs/teamlimits.py
@@ -19,6 +19,8 @@
     limit = team.upper_limit
     used = owner.usage.get(team.name, resources.ZERO)
     used = used + unheldusage.usage(st, owner, team.name)
+    # A run of a job that is not known yet may be the team's.
+    used = used + owner.usage.get(state.UNKNOWN_TEAM, resources.ZERO)
     for limit_amount, used_amount, task_amount in (
         (limit.cpu_millis, used.cpu_millis, needs.cpu_millis),
         (limit.memory_mib, used.memory_mib, needs.memory_mib),
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -183,6 +183,77 @@
         self.assertEqual(8, len(world.starts))
 
 
+class UnknownJobTest(testtools.TestCase):
+    """Runs whose job the new owner hears of later."""
+
+    def _adopt_unknown_runs(self):
+        """A displaced owner starts a job of which the new one hears later."""
+        self.patch(jobworkers, "STOP_S", 0.8)
+        world = _two_back_ends()
+        world.workers["w0"].is_reachable = False
+        world.claim(1)
+        world.workers["w0"].is_reachable = True
+        job = model.Job(
+            "j1",
+            jobclusters.QUEUE,
+            jobclusters.BACKEND,
+            "a",
+            "text",
+            (model.Step(4, CORE, 30.0),),
+            world.now,
+        )
+        world.jobs["j1"] = (job, 50)
+        world.team_of_job["j1"] = "a"
+        accepted = events.JobAccepted(world.now, job, 50)
+        world.deliver(0, accepted)
+        while not world.daemons[1].owner.workers["w0"].held:
+            world.run(jobclusters.TICK_S)
+        self.assertEqual(4, _running(world))
+        return world, accepted
+
+    def test_a_run_of_an_unknown_job_counts_toward_the_limit(self):
+        world, _ = self._adopt_unknown_runs()
+        world.submit(
+            "j2", model.Step(4, CORE, 30.0), queue="other", backend="other"
+        )
+        world.run(3.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(8, len(world.starts))
+
+    def test_a_run_of_an_unknown_job_counts_on_its_worker(self):
+        world, _ = self._adopt_unknown_runs()
+        world.configure(
+            dataclasses.replace(
+                world.configurations[-1][1], version=4, teams={}
+            )
+        )
+        world.submit("j2", model.Step(4, CORE, 30.0))
+        world.run(3.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(8, len(world.starts))
+
+    def test_runs_of_jobs_without_a_team_do_not_count_toward_limits(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(4, CORE, 30.0), team="")
+        world.run(0.2)
+        world.frozen.add(0)
+        world.claim(1)
+        world.run(0.2)
+        world.submit("j2", model.Step(4, CORE, 30.0))
+        world.run(0.2)
+        self.assertEqual(8, _running(world))
+
+    def test_a_job_that_becomes_known_does_not_run_twice(self):
+        world, accepted = self._adopt_unknown_runs()
+        world.add_worker("w2")
+        world.run(0.1)
+        world.deliver(1, accepted)
+        world.submit("j2", model.Step(4, CORE, 30.0), queue="other")
+        world.run(3.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(4, _running(world))
+
+
 class EntryOrderTest(testtools.TestCase):
     """Entries of workers that arrive late or out of order."""
 
