Count the processor time of backfill toward teams' limits

Callers saw: a team had more running than its upper limit.

Cause: a run of a step that fills was counted toward its team as on its worker, without its processor time. The limit allows what a team has running across all workers; only a worker's capacity leaves out the processor time of backfill.

Evidence, on the code before: with 4 cores of backfill and a limit of 4 cores, "QUOTA j3.0.0.1 run on w0: a has 8000 cpu_millis running; it may have 4000"; the same after a change of owner, for adopted runs.

Fix: a run keeps what it occupies on its worker and what counts toward its team.

Two checks of the tests were wrong. The simulated workers counted processor time of backfill against their capacity, which the protocol says it isn't; they now leave out exactly that, and a test runs backfill on a full worker. The tests of limits began while the configuration without a limit might still be in force, so they found no violation in the first 2 s; they now wait until it isn't.

--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -14,7 +14,7 @@
     worker.runs[(run.task_id, run.run)] = run
     worker.used = worker.used + run.needs
     owner.usage[run.team] = (
-        owner.usage.get(run.team, resources.ZERO) + run.needs
+        owner.usage.get(run.team, resources.ZERO) + run.team_needs
     )
 
 
@@ -24,7 +24,7 @@
         return
     owner.freed.add(run.worker_id)
     worker.used = worker.used - run.needs
-    owner.usage[run.team] = owner.usage[run.team] - run.needs
+    owner.usage[run.team] = owner.usage[run.team] - run.team_needs
 
 
 def adopt(
@@ -44,6 +44,7 @@
         worker.entry.worker_id,
         state.UNKNOWN_TEAM,
         resources.ZERO,
+        resources.ZERO,
         state.Phase.RUNNING,
         st.now,
         acknowledged_at=st.now,
@@ -83,10 +84,11 @@
         entry, _, number, _ = location
         run.team = entry.job.team
         run.needs = work.reserved_resources(entry.job.steps[number])
+        run.team_needs = entry.job.steps[number].needs
         run.is_latency_sensitive = entry.job.steps[number].target_ms > 0
         run.fills = entry.job.steps[number].fills
     elif _is_task_id(run.task_id):
-        run.needs = worker.entry.capacity
+        run.needs = run.team_needs = worker.entry.capacity
 
 
 def _is_task_id(text: str) -> bool:
--- a/packages/core/mimosaridge_core/jobs/starting.py
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -40,6 +40,7 @@
         worker_id,
         entry.job.team,
         work.reserved_resources(group.step),
+        group.step.needs,
         state.Phase.STARTING,
         st.now,
         saved=saved,
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -31,6 +31,8 @@
         team: Team whose usage includes the run; `UNKNOWN_TEAM` if its job is
             not in the table.
         needs: Resources that it occupies on the worker.
+        team_needs: Resources that count toward its team's upper limit; for
+            backfill they include its processor time.
         phase: Current phase.
         started_at: When the owner sent the start or first saw the run.
         acknowledged_at: When the worker confirmed the latest start or stop;
@@ -50,6 +52,7 @@
     worker_id: str
     team: str | None
     needs: resources.Resources
+    team_needs: resources.Resources
     phase: Phase
     started_at: float
     acknowledged_at: float = 0.0
--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -448,6 +448,7 @@
                 run_outcome,
                 step.needs,
                 duration_s,
+                step.fills,
             ),
         )
         if outcome == events.CallResult.DONE and not was_running:
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -17,6 +17,8 @@
 def _world(limit=LIMIT, **options):
     world = jobclusters.Cluster(**options)
     world.configure(world.configuration(version=2, upper_limit=limit))
+    # Until then the configuration without a limit may be in force.
+    world.run(jobclusters.CONFIGURATION_APPLY_S)
     world.claim(0)
     world.run(0.2)
     return world
@@ -47,7 +49,6 @@
 
     def test_a_start_above_the_limit_is_recorded(self):
         world = _world()
-        world.run(jobclusters.CONFIGURATION_APPLY_S)
         # Only the daemon gets the higher limit.
         raised = world.configuration(version=3)
         world.deliver(0, events.ConfigurationChanged(world.now, raised))
@@ -58,7 +59,6 @@
 
     def test_the_largest_limit_that_may_be_in_force_counts(self):
         world = _world()
-        world.run(jobclusters.CONFIGURATION_APPLY_S)
         lower = resources.Resources(2000, 0, 0)
         world.submit("j1", model.Step(4, CORE, 5.0))
         world.run(jobclusters.TICK_S)
@@ -68,6 +68,52 @@
         self.assertEqual([], world.violations)
 
 
+class BackfillTest(testtools.TestCase):
+    """Backfill counts with its processor time, which workers don't reserve."""
+
+    def test_processor_time_of_backfill_counts_toward_the_limit(self):
+        world = _world()
+        world.submit("j1", model.Step(4, CORE, 30.0, fills=True))
+        world.run(0.5)
+        world.submit("j2", model.Step(2, CORE, 30.0, fills=True))
+        world.submit("j3", model.Step(2, CORE, 30.0))
+        world.run(1.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(4, _running(world))
+
+    def test_processor_time_of_adopted_backfill_counts(self):
+        world = _world()
+        world.submit("j1", model.Step(4, CORE, 2.0, fills=True))
+        world.run(0.5)
+        world.frozen.add(0)
+        world.claim(1)
+        world.run(0.5)
+        world.submit("j2", model.Step(4, CORE, 2.0))
+        world.run(6.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j2"))
+
+    def test_backfill_does_not_count_on_its_worker(self):
+        world = _world(limit=resources.Resources(8000, 0, 0), workers=1)
+        world.submit("j1", model.Step(4, CORE, 30.0, fills=True))
+        world.submit("j2", model.Step(4, CORE, 30.0))
+        world.run(0.5)
+        self.assertEqual([], world.violations)
+        self.assertEqual(8, _running(world))
+
+    def test_backfill_on_a_cut_off_worker_counts(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(4, CORE, 30.0, fills=True))
+        world.run(0.5)
+        world.workers[world.starts[0].worker_id].is_reachable = False
+        world.frozen.add(0)
+        world.claim(1)
+        world.run(2.1)
+        world.submit("j2", model.Step(4, CORE, 30.0))
+        world.run(2.0)
+        self.assertEqual([], world.violations)
+
+
 class TakeOverTest(testtools.TestCase):
     """Workers that a new owner does not hold yet may run a team's tasks."""
 
