Count starts of a displaced owner on workers that restart

Callers saw: a team had more running than its upper limit.

Cause: when a worker restarted, a new owner took it off the workers not yet held. The new incarnation has seen no token of this owner and takes starts of a displaced owner, which may send some for 2 s, until it is held. These counted toward no team and delayed no job.

Evidence, on the code before, with a worker that restarts 0.2 s after the change of owner and is reached by the displaced owner only: "QUOTA j2.0.0.3 run on w1: a has 8000 cpu_millis running; it may have 4000".

Fix: while the former owner may be at work, a worker that it had stored as open for starts counts as not held again when it restarts.

Tests run: tests/core/jobs, passed.

--- a/packages/core/mimosaridge_core/jobs/fleets.py
+++ b/packages/core/mimosaridge_core/jobs/fleets.py
@@ -8,12 +8,18 @@
 
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import timing
 
 # A worker without an answer for this time is closed for starts, seconds: two
 # retries of a hold.
 LOST_AFTER_S = 0.6
 
 
+def unheld_until(st: state.State, owner: state.Owner) -> float:
+    """Returns until when a worker not yet held may run former owners' tasks."""
+    return owner.displaced_until + timing.former_lease_s(st.bounds)
+
+
 def current_fleet(st: state.State, owner: state.Owner) -> model.Fleet:
     """Returns the current fleet; updates `closed_jobs` of its workers."""
     closed: dict[str, tuple[str, ...]] = {}
--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -11,6 +11,7 @@
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import flapping
+from mimosaridge_core.jobs import fleets
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import resigning
@@ -19,6 +20,7 @@
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import timing
 from mimosaridge_core.jobs import tunables
+from mimosaridge_core.jobs import unheldusage
 
 
 @dispatch.handles(events.WorkersListed)
@@ -148,12 +150,26 @@
     if was_held:
         flapping.record_end(st, worker, out)
     worker.closed_jobs = None
-    owner.unheld.pop(worker.entry.worker_id, None)
+    _forget_unheld(st, owner, worker.entry.worker_id)
     for group in owner.groups.values():
         group.tickets.pop(worker.entry.worker_id, None)
         group.unfit.discard(worker.entry.worker_id)
 
 
+def _forget_unheld(st: state.State, owner: state.Owner, worker_id: str) -> None:
+    """Forgets what a former incarnation may run before it was held.
+
+    The next incarnation has not seen this owner's token, so it takes starts of
+    a displaced owner until it is held.
+    """
+    is_former_at_work = st.now <= owner.displaced_until
+    if is_former_at_work and worker_id in owner.open_to_former:
+        owner.unheld[worker_id] = fleets.unheld_until(st, owner)
+        unheldusage.invalidate(owner)
+    else:
+        owner.unheld.pop(worker_id, None)
+
+
 def send_hold(
     st: state.State, owner: state.Owner, worker: state.Worker, out: list
 ) -> None:
--- a/packages/core/mimosaridge_core/jobs/ownership.py
+++ b/packages/core/mimosaridge_core/jobs/ownership.py
@@ -3,9 +3,9 @@
 from mimosaridge_core.jobs import dispatch
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import fleets
 from mimosaridge_core.jobs import holds
 from mimosaridge_core.jobs import state
-from mimosaridge_core.jobs import timing
 from mimosaridge_core.jobs import tunables
 from mimosaridge_core.jobs import work
 
@@ -20,9 +20,12 @@
     owner.displaced_until = st.now
     if not event.is_former_gone:
         owner.displaced_until += tunables.DISPLACED_OWNER_S
-    unheld_until = owner.displaced_until + timing.former_lease_s(st.bounds)
+    unheld_until = fleets.unheld_until(st, owner)
     owner.unheld = dict.fromkeys(event.fleet.workers, unheld_until)
     owner.unheld_jobs = dict(event.fleet.closed)
+    owner.open_to_former = (
+        frozenset(event.fleet.workers) - event.fleet.closed.keys()
+    )
     effects.log_decision(
         out,
         "owner",
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -273,6 +273,7 @@
             which the call expires.
         lossy_until: Until when holds use shorter waits because answers of
             workers were lost.
+        open_to_former: Workers stored as open for starts by former owners.
         unheld_jobs: Jobs whose tasks an unheld worker may run, by worker; only
             for workers that were closed for starts.
         unheld_usage: Most that each team may have running on unheld workers;
@@ -313,6 +314,7 @@
     finished: dict[str, float] = dataclasses.field(default_factory=dict)
     advice_busy: dict[str, float] = dataclasses.field(default_factory=dict)
     lossy_until: float = 0.0
+    open_to_former: frozenset[str] = frozenset()
     unheld_jobs: dict[str, tuple[str, ...]] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -5,6 +5,7 @@
 import testtools
 
 from mimosaridge_core import resources
+from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_fakes import jobclusters
@@ -164,6 +165,32 @@
         self.assertEqual(4, _running(world))
         self.assertEqual([], world.violations)
 
+    def test_a_displaced_owners_runs_on_a_restarted_worker_count(self):
+        world = _two_back_ends()
+        former_token = world.owner_revision
+        world.submit("j1", model.Step(4, CORE, 30.0))
+        world.claim(1)
+        world.run(0.2)
+        world.crash_worker("w0")
+        world.restart_worker("w0")
+        restarted = world.workers["w0"]
+        restarted.is_reachable = False
+        # Only the displaced owner reaches the new incarnation.
+        restarted.lease_until = world.now + 4.0
+        before_ms = int((world.now + 1.0) * 1000)
+        for index in range(4):
+            task_id = f"j1.0.0.{index}"
+            order = effects.Start(
+                "w0", "w0:80", former_token, task_id, 1, "", "", "", before_ms
+            )
+            world._begin_run(order, restarted)
+        world.submit(
+            "j2", model.Step(4, CORE, 30.0), queue="other", backend="other"
+        )
+        world.run(10.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(4, _running(world))
+
     def test_a_limited_team_waits_no_longer_than_the_former_lease(self):
         world = self._cut_and_take_over(0.5)
         world.run(2.1)
