Delay jobs of a moved queue that may run on a worker not yet held

Callers saw: tasks ran twice.

Cause: a new owner delayed a job for workers not yet held only if these belonged to the back end of the job's queue on its acceptance. Tasks of a queue that was moved since run on workers of the queue's current back end.

Evidence, on the code before: the queue is moved, its job runs on a worker of the new back end, which is cut off before a change of owner: "TWICE j1.0.0.0 run on w2: ['w1', 'w2']". The test of the team's limit in the same case passed before, since the charge counts both back ends already.

Fix: both back ends count. A queue that was moved twice since may still have runs on a back end that counts for none.

Tests run: tests/core/jobs, passed.

--- a/packages/core/mimosaridge_core/jobs/fleets.py
+++ b/packages/core/mimosaridge_core/jobs/fleets.py
@@ -62,14 +62,17 @@
     return frozenset((entry.job.backend, current))
 
 
-def may_run_on_unheld(owner: state.Owner, entry: state.JobEntry) -> bool:
+def may_run_on_unheld(
+    st: state.State, owner: state.Owner, entry: state.JobEntry
+) -> bool:
     """Returns whether tasks of a job may run on a worker not yet held.
 
     They can't if the job was first seen after the former owner was certainly
     displaced.
     """
-    if entry.seen_at > owner.displaced_until:
+    if not owner.unheld or entry.seen_at > owner.displaced_until:
         return False
+    backends = backends_of(st, entry)
     for worker_id in owner.unheld:
         jobs = owner.unheld_jobs.get(worker_id)
         if jobs is not None:
@@ -77,7 +80,7 @@
                 return True
             continue
         worker = owner.workers.get(worker_id)
-        if worker is None or worker.entry.backend == entry.job.backend:
+        if worker is None or worker.entry.backend in backends:
             return True
     return False
 
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -163,7 +163,7 @@
     entry = st.table[group.job_id]
     if not work.is_ready(entry, group.repetition, group.number):
         return
-    if fleets.may_run_on_unheld(owner, entry):
+    if fleets.may_run_on_unheld(st, owner, entry):
         return
     if group.step.gang and len(group.waiting) < teamlimits.gang_size(group):
         return
--- a/packages/core/mimosaridge_core/jobs/waiting.py
+++ b/packages/core/mimosaridge_core/jobs/waiting.py
@@ -141,7 +141,7 @@
     entry = st.table[group.job_id]
     if not work.is_ready(entry, group.repetition, group.number):
         return WaitReason.DEPENDENCY, {"after": list(group.step.after)}
-    if fleets.may_run_on_unheld(owner, entry):
+    if fleets.may_run_on_unheld(st, owner, entry):
         return WaitReason.UNHELD_WORKER, {"unheld": len(owner.unheld)}
     if group.step.gang and group.runs:
         return WaitReason.GANG_RUNS, {"members": len(group.runs)}
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -25,9 +25,9 @@
     return world
 
 
-def _two_back_ends():
+def _two_back_ends(limit=LIMIT):
     """Returns a world whose queue "other" has a back end with worker w1."""
-    world = _world(workers=1)
+    world = _world(limit, workers=1)
     world.add_worker("w1", backend="other")
     before = world.configurations[-1][1]
     other = dataclasses.replace(
@@ -191,6 +191,38 @@
         self.assertEqual([], world.violations)
         self.assertEqual(4, _running(world))
 
+    def _move_queue_and_take_over(self, **limits):
+        """A job of a queue that was moved runs on a worker that is cut off."""
+        world = _two_back_ends(**limits)
+        world.add_worker("w2", backend="other")
+        world.add_worker("w3")
+        before = world.configurations[-1][1]
+        moved = dataclasses.replace(
+            before.queues[jobclusters.QUEUE], backend="other"
+        )
+        queues = {**before.queues, jobclusters.QUEUE: moved}
+        world.configure(dataclasses.replace(before, version=4, queues=queues))
+        world.run(0.5)
+        world.submit("j1", model.Step(4, CORE, 30.0))
+        world.run(0.5)
+        world.workers[world.starts[0].worker_id].is_reachable = False
+        world.frozen.add(0)
+        world.claim(1)
+        return world
+
+    def test_runs_of_a_moved_queue_on_a_cut_off_worker_count(self):
+        world = self._move_queue_and_take_over()
+        world.run(2.1)
+        world.submit("j2", model.Step(4, CORE, 30.0), queue="none")
+        world.run(10.0)
+        self.assertEqual([], world.violations)
+
+    def test_tasks_of_a_moved_queue_do_not_run_twice(self):
+        world = self._move_queue_and_take_over(limit=resources.ZERO)
+        world.run(10.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(8, len(world.starts))
+
     def test_a_limited_team_waits_no_longer_than_the_former_lease(self):
         world = self._cut_and_take_over(0.5)
         world.run(2.1)
