Reserve workers only for tasks that can start there

What callers saw: an accepted job stayed queued while workers with room for it stood idle.

Cause: placement reserved workers with tickets for a large waiting step as long as it waited, whether its tasks could ever start there: a gang too large for all its workers, a step at its limit of tasks a worker, a large task beside standing runs, backfill on workers of standing tasks with a latency target, and more tasks than the team's upper limit allows. Standing runs don't end, so neither did these reservations.

Why the fix works: a worker is reserved only for as many tasks as fit beside its standing runs, within the step's limit a worker and what the team may still start, and only while its ticket is valid or asked for. A gang reserves nothing if these workers together can't hold it. The standing runs of a worker are looked up once a pass, and only for steps large enough to reserve.

--- a/packages/core/mimosaridge_core/jobs/advice_calls.py
+++ b/packages/core/mimosaridge_core/jobs/advice_calls.py
@@ -43,6 +43,15 @@
     return ticket
 
 
+def has_or_awaits_ticket(
+    st: state.State, group: state.Group, worker_id: str
+) -> bool:
+    """Returns whether a worker's ticket is valid or its renewal in progress."""
+    return valid_ticket(st, group, worker_id) is not None or _is_requested(
+        st, group, worker_id
+    )
+
+
 def request_advice(
     st: state.State,
     owner: state.Owner,
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -20,6 +20,7 @@
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import preemption
 from mimosaridge_core.jobs import ranking
+from mimosaridge_core.jobs import reserving
 from mimosaridge_core.jobs import starting
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import teamlimits
@@ -30,8 +31,6 @@
 EXAMINE_INTERVAL_PER_GROUP_S = 0.001
 MIN_EXAMINE_INTERVAL_S = 0.05
 MAX_EXAMINE_INTERVAL_S = 0.2
-# Workers are reserved for tasks that need at least this share of a worker.
-LARGE_TASK_SHARE = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +45,8 @@
         has_idle_asker: Whether a daemon can ask for advice.
         reserved: Workers that later, less urgent steps of the pass must not
             use.
+        standing: Standing runs of workers as far as they were needed, by
+            worker.
     """
 
     usable: dict[str, dict[str, state.Worker]]
@@ -53,6 +54,9 @@
     examine_interval_s: float
     has_idle_asker: bool
     reserved: set[str] = dataclasses.field(default_factory=set)
+    standing: dict[str, reserving.StandingRuns] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def place_waiting_tasks(st: state.State, owner: state.Owner, out: list) -> None:
@@ -186,7 +190,12 @@
         return
     if advice is not None:
         _request_advice(st, owner, current, group, advice, pool, out)
-    group.reserved = _workers_to_reserve(group, pool)
+    allowed = teamlimits.allowed_tasks(
+        st, owner, entry, group.step.needs, len(group.waiting)
+    )
+    group.reserved = reserving.workers_to_reserve(
+        st, owner, group, pool, allowed, current.standing
+    )
     if not group.step.gang:
         preemption.make_room(st, owner, group, approved, out)
 
@@ -251,28 +260,6 @@
     current.has_idle_asker = advice_calls.has_idle_asker(st, owner)
 
 
-def _workers_to_reserve(
-    group: state.Group, pool: dict[str, state.Worker]
-) -> frozenset[str]:
-    """Returns workers with tickets for the waiting tasks if they are large."""
-    needs = work.reserved_resources(group.step)
-    suitable = [
-        pool[name]
-        for name in group.tickets
-        if name in pool and needs.fits(pool[name].entry.capacity)
-    ]
-    suitable.sort(key=lambda worker: worker.used.cpu_millis)
-    count = len(group.waiting)
-    reserved = set()
-    for worker in suitable:
-        share = needs.dominant_fraction(worker.entry.capacity)
-        if share < LARGE_TASK_SHARE or count <= 0:
-            break
-        reserved.add(worker.entry.worker_id)
-        count -= int(1 / share)
-    return frozenset(reserved)
-
-
 def _place_each(
     st: state.State,
     owner: state.Owner,
--- /dev/null
+++ b/tests/core/jobs/test_starvation.py
@@ -0,0 +1,181 @@
+"""Jobs that could run are not kept waiting by others that can't."""
+
+import dataclasses
+
+import testtools
+
+from mimosaridge_core import resources
+from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import model
+from mimosaridge_fakes import jobclusters
+
+CORE = resources.Resources(1000, 100, 0)
+# Most time for which a job that could run may have nothing running.
+LONGEST_IDLE_S = 3.0
+ADVICE = model.AdviceSettings(0.05, 0.001, 2.0)
+URGENT, ROUTINE = "urgent", "routine"
+
+
+def _cores(count):
+    return resources.Resources(int(1000 * count), 100, 0)
+
+
+def _world(workers=4, askers=6, urgent_advice=ADVICE, advice=None, **options):
+    """Returns a cluster with an urgent and a routine queue on one back end."""
+    world = jobclusters.Cluster(workers=workers, **options)
+    configuration = world.configuration(version=2)
+    queue = configuration.queues[jobclusters.QUEUE]
+    queues = {
+        URGENT: dataclasses.replace(
+            queue, name=URGENT, priority=0, advice=urgent_advice
+        ),
+        ROUTINE: dataclasses.replace(
+            queue, name=ROUTINE, priority=1, advice=advice
+        ),
+    }
+    world.configure(dataclasses.replace(configuration, queues=queues))
+    names = frozenset(f"daemon-{number}" for number in range(askers))
+    for number in range(len(world.daemons)):
+        world.deliver(number, events.PeersChanged(world.now, names))
+    world.claim(0)
+    world.run(0.2)
+    return world
+
+
+def _starts(world, job_id):
+    """Returns how long each task of a job waited for its first start."""
+    found = {}
+    for decision in world.decisions:
+        if decision.rule == "start" and decision.job_id == job_id:
+            found.setdefault(decision.task_id, decision.fields["waited_s"])
+    return found
+
+
+class ReservationTest(testtools.TestCase):
+    """Workers are reserved only for tasks that can start there."""
+
+    def _check_not_starved(self, world, team="a"):
+        """Submits a routine job, whose tasks must start soon."""
+        step = model.Step(2, CORE, 1.0)
+        world.submit("routine", step, queue=ROUTINE, team=team)
+        world.run(LONGEST_IDLE_S)
+        starts = _starts(world, "routine")
+        self.assertEqual(2, len(starts))
+        self.assertLess(max(starts.values()), 1.0)
+        self.assertEqual([], world.violations)
+
+    def test_a_gang_too_large_for_its_workers_keeps_no_worker_idle(self):
+        world = _world(advice=ADVICE)
+        world.submit(
+            "gang", model.Step(20, _cores(2), 1.0, gang=True), queue=URGENT
+        )
+        world.run(1.0)
+        self._check_not_starved(world)
+
+    def test_a_gang_of_one_a_worker_keeps_no_worker_idle(self):
+        world = _world()
+        step = model.Step(8, _cores(2), 1.0, gang=True, most_per_worker=1)
+        world.submit("gang", step, queue=URGENT)
+        world.run(1.0)
+        self._check_not_starved(world)
+
+    def test_a_step_at_its_limit_on_each_worker_keeps_no_room_idle(self):
+        world = _world()
+        step = model.Step(20, _cores(2), standing=True, most_per_worker=1)
+        world.submit("standing", step, queue=URGENT)
+        world.run(1.0)
+        self.assertEqual(4, len(world.starts))
+        self._check_not_starved(world)
+
+    def test_standing_runs_beside_a_large_task_keep_no_room_idle(self):
+        world = _world()
+        standing = model.Step(4, CORE, standing=True)
+        world.submit("standing", standing, queue=ROUTINE)
+        world.run(1.0)
+        world.submit("large", model.Step(4, _cores(4), 1.0), queue=URGENT)
+        world.run(1.0)
+        self._check_not_starved(world)
+
+    def test_a_team_near_its_limit_reserves_only_what_it_may_use(self):
+        world = _world()
+        configuration = world.daemons[0].configuration
+        other = model.Team("b", 100.0, resources.ZERO, ("other",))
+        team = dataclasses.replace(
+            configuration.teams["a"], upper_limit=_cores(3)
+        )
+        world.configure(
+            dataclasses.replace(
+                configuration, version=3, teams={"a": team, "b": other}
+            )
+        )
+        running = model.Step(4, _cores(2), 9.0, most_per_worker=1)
+        world.submit("running", running, queue=ROUTINE, team="b")
+        world.run(1.0)
+        world.submit("large", model.Step(4, _cores(3), 1.0), queue=URGENT)
+        world.run(1.0)
+        self._check_not_starved(world, team="b")
+
+    def test_tasks_that_fill_keep_no_worker_of_serving_tasks_idle(self):
+        world = _world()
+        serving = model.Step(
+            4, CORE, standing=True, target_ms=20, most_per_worker=1
+        )
+        world.submit("serving", serving, queue=ROUTINE)
+        world.run(1.0)
+        step = model.Step(
+            12, resources.Resources(1000, 2000, 0), 1.0, fills=True
+        )
+        world.submit("fill", step, queue=URGENT)
+        world.run(1.0)
+        self._check_not_starved(world)
+
+    def test_a_suspended_worker_is_not_reserved(self):
+        world = _world(workers=2)
+        world.submit("large", model.Step(1, _cores(3), 1.0), queue=URGENT)
+        owner = world.daemons[0].owner
+        for worker in owner.workers.values():
+            worker.backoff_until = world.now + 60.0
+        owner.workers["w0"].backoff_until = 0.0
+        world.submit("small", model.Step(1, CORE, 5.0), queue=ROUTINE)
+        world.run(1.0)
+        for worker in owner.workers.values():
+            worker.backoff_until = world.now + 60.0
+        world.run(0.5)
+        self.assertEqual(
+            set(),
+            {
+                name
+                for group in owner.groups.values()
+                for name in group.reserved
+            },
+        )
+
+
+class LargeTaskTest(testtools.TestCase):
+    """Large tasks and gangs get room under a stream of small tasks."""
+
+    def _play(self, step, seconds, *, small_s=1.5, per_s=10, workers=4):
+        """Submits small jobs all the time, and one large one."""
+        world = _world(workers=workers)
+        for number in range(int(seconds * per_s)):
+            if number == 3 * per_s:
+                world.submit("large", step, queue=URGENT)
+            world.submit(
+                f"small{number}", model.Step(1, CORE, small_s), queue=ROUTINE
+            )
+            world.run(1.0 / per_s)
+        self.assertEqual([], world.violations)
+        return world
+
+    def test_a_large_task_is_served_under_a_stream_of_small_tasks(self):
+        world = self._play(model.Step(1, _cores(4), 1.0), 12.0)
+        waits = _starts(world, "large").values()
+        self.assertEqual(1, len(waits))
+        self.assertLess(max(waits), 4.0)
+
+    def test_a_gang_is_served_under_a_stream_of_small_tasks(self):
+        step = model.Step(4, _cores(3), 1.0, gang=True)
+        world = self._play(step, 15.0)
+        waits = _starts(world, "large").values()
+        self.assertEqual(4, len(waits))
+        self.assertLess(max(waits), 6.0)
