Let starved steps use reserved workers while capacity is unused

What callers saw: a job had nothing running for many seconds while workers had room and under half of the capacity was in use.

Cause: workers that drain for a gang or a large task stay closed to less urgent steps for as long as their longest run lasts, without a bound.

Evidence on the old code: in three tests of test_starvation.py a 4-core gang waits for 12 s runs of 1 core on each of 4 workers (a quarter of the room used). In 3 s no task of a small job ("0 not less than 0"), of a standing step ("3 != 0") or of a small gang ("4 != 0") starts.

Why the fix works: a step without a run (a standing step: with a waiting task) that has found no room for 2 s ignores reservations while under 60% of its back end is in use. A step whose tasks end starts one task so; the others respect reservations. Above 60% nothing changes (test_reservations_hold_while_most_of_the_capacity_is_in_use passes before and after). The use of a back end is computed at most every 0.25 s, and only if a step is starved.

Tests run: tests/core/jobs, 76 passed.

--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -22,6 +22,7 @@
 from mimosaridge_core.jobs import ranking
 from mimosaridge_core.jobs import reserving
 from mimosaridge_core.jobs import starting
+from mimosaridge_core.jobs import starvation
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import teamlimits
 from mimosaridge_core.jobs import work
@@ -178,16 +179,21 @@
     # All tasks of a gang are placed together, on any of its workers.
     is_partial = not is_full and not group.step.gang
     approved = _approved_workers(st, current, group, pool, is_partial)
-    if group.step.gang:
-        is_placed = _place_gang(st, owner, current, entry, group, approved, out)
-    else:
-        is_placed = _place_each(st, owner, current, entry, group, approved, out)
+    place = _place_gang if group.step.gang else _place_each
+    is_placed = place(st, owner, entry, group, approved, current.reserved, out)
+    if not is_placed and is_full and current.reserved:
+        is_placed = _place_starved(
+            st, owner, current, entry, group, approved, out
+        )
     if is_placed:
         group.reserved = frozenset()
+        group.blocked_since = 0.0
     if is_placed or not is_full:
         return
     if teamlimits.is_over_limit(st, owner, entry, group):
+        group.blocked_since = 0.0
         return
+    starvation.update_blocked_since(st, group)
     if advice is not None:
         _request_advice(st, owner, current, group, advice, pool, out)
     allowed = teamlimits.allowed_tasks(
@@ -200,6 +206,34 @@
         preemption.make_room(st, owner, group, approved, out)
 
 
+def _place_starved(
+    st: state.State,
+    owner: state.Owner,
+    current: PlacementPass,
+    entry: state.JobEntry,
+    group: state.Group,
+    workers: list[state.Worker],
+    out: list,
+) -> bool:
+    """Places a starved step on reserved workers, as far as it is owed.
+
+    Returns whether no task is left waiting.
+    """
+    backend = backend_of(st, entry)
+    pool = current.usable.get(backend, {})
+    if not starvation.is_starved(st, owner, group, backend, pool):
+        return False
+    waiting = len(group.waiting)
+    if group.step.gang:
+        _place_gang(st, owner, entry, group, workers, set(), out)
+    else:
+        # One task that ends is enough: the others respect reservations.
+        most = waiting if group.step.standing else 1
+        _place_each(st, owner, entry, group, workers, set(), out, most)
+    starvation.count_starts(owner, group, backend, waiting - len(group.waiting))
+    return not group.waiting
+
+
 def _approved_workers(
     st: state.State,
     current: PlacementPass,
@@ -263,19 +297,31 @@
 def _place_each(
     st: state.State,
     owner: state.Owner,
-    current: PlacementPass,
     entry: state.JobEntry,
     group: state.Group,
     workers: list[state.Worker],
+    reserved: set[str],
     out: list,
+    most: int | None = None,
 ) -> bool:
-    """Starts each task that fits; returns whether none is left waiting."""
+    """Starts each task that fits; returns whether none is left waiting.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        entry: The job.
+        group: The step.
+        workers: Workers on which its tasks may run.
+        reserved: Workers that it must not use.
+        out: Effects.
+        most: Most tasks to start; None for all.
+    """
     allowed = teamlimits.allowed_tasks(
         st, owner, entry, group.step.needs, len(group.waiting)
     )
     group.is_limited = allowed < len(group.waiting)
-    chooser = fitting.Chooser(group, workers, current.reserved)
-    for index in sorted(group.waiting)[:allowed]:
+    chooser = fitting.Chooser(group, workers, reserved)
+    for index in sorted(group.waiting)[:allowed][:most]:
         worker = chooser.choose(index)
         if worker is None:
             break
@@ -287,10 +333,10 @@
 def _place_gang(
     st: state.State,
     owner: state.Owner,
-    current: PlacementPass,
     entry: state.JobEntry,
     group: state.Group,
     workers: list[state.Worker],
+    reserved: set[str],
     out: list,
 ) -> bool:
     """Starts all tasks of a gang at once, or none."""
@@ -309,9 +355,7 @@
             for name in names
         ] + [workers]
     for option in options:
-        assigned = fitting.assign_gang(
-            group, option, current.reserved, len(indexes)
-        )
+        assigned = fitting.assign_gang(group, option, reserved, len(indexes))
         if assigned is not None:
             run = starting.next_run_number(owner)
             for index, worker in zip(indexes, assigned, strict=True):
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/starvation.py
@@ -0,0 +1,94 @@
+"""Decides when a step may start on workers reserved for more urgent ones.
+
+Users are owed that a job doesn't have nothing running for 3 s while there is
+room for it and less than half of the service's capacity is in use. A worker
+that drains for a large task may stay idle for longer than that.
+"""
+
+from mimosaridge_core import resources
+from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import work
+
+# A step with nothing running ignores reservations after this time, which leaves
+# time for a call for advice and a start within the promised 3 s. Workers with
+# shorter tasks drain in this time, so that a large task gets its turn.
+PATIENCE_S = 2.0
+# Reservations hold regardless of the time above this share of capacity in use.
+# Exceeds the promised half, because users count runs at other moments.
+LOW_USE_SHARE = 0.6
+# Interval at which the use of a back end is computed again.
+USE_INTERVAL_S = 0.25
+
+
+def update_blocked_since(st: state.State, group: state.Group) -> None:
+    """Records since when a step has had nothing running for want of room."""
+    if not group.waiting or (group.runs and not group.step.standing):
+        group.blocked_since = 0.0
+    else:
+        group.blocked_since = group.blocked_since or st.now
+
+
+def is_starved(
+    st: state.State,
+    owner: state.Owner,
+    group: state.Group,
+    backend: str,
+    pool: dict[str, state.Worker],
+) -> bool:
+    """Returns whether a step has waited too long beside unused capacity.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        group: The step.
+        backend: Name of its back end.
+        pool: Workers of the back end that can take starts, by id.
+    """
+    if not group.blocked_since:
+        return False
+    if st.now - group.blocked_since < PATIENCE_S:
+        return False
+    if group.runs and not group.step.standing:
+        return False
+    use = owner.backend_use.get(backend)
+    if use is None or st.now - use.at >= USE_INTERVAL_S:
+        use = owner.backend_use[backend] = _backend_use(st, pool)
+    needs = work.reserved_resources(group.step)
+    return all(
+        used < LOW_USE_SHARE * capacity
+        for needed, used, capacity in (
+            (needs.cpu_millis, use.used.cpu_millis, use.capacity.cpu_millis),
+            (needs.memory_mib, use.used.memory_mib, use.capacity.memory_mib),
+            (
+                needs.accelerators,
+                use.used.accelerators,
+                use.capacity.accelerators,
+            ),
+        )
+        if needed
+    )
+
+
+def count_starts(
+    owner: state.Owner, group: state.Group, backend: str, tasks: int
+) -> None:
+    """Adds tasks that ignored reservations to the use of their back end."""
+    use = owner.backend_use[backend]
+    use.used = use.used + work.reserved_resources(group.step).times(tasks)
+
+
+def _backend_use(
+    st: state.State, pool: dict[str, state.Worker]
+) -> state.BackendUse:
+    used = [worker.used for worker in pool.values()]
+    capacity = [worker.entry.capacity for worker in pool.values()]
+    return state.BackendUse(st.now, _total(used), _total(capacity))
+
+
+def _total(amounts: list[resources.Resources]) -> resources.Resources:
+    """Returns a sum at a fraction of the cost of adding vectors."""
+    return resources.Resources(
+        sum(amount.cpu_millis for amount in amounts),
+        sum(amount.memory_mib for amount in amounts),
+        sum(amount.accelerators for amount in amounts),
+    )
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -173,6 +173,8 @@
         wants_advice: Whether it needs a call for advice and no daemon was idle.
         needs_ticket: Whether its queue requires tickets.
         reserved: Workers reserved for its waiting tasks, which are large.
+        blocked_since: Since when it has found no room and has nothing running,
+            or, if it is standing, a task that waits; 0 if neither.
         failed_on: Workers on which a task failed, by index.
         explained_at: When the log last explained why it waits.
         remaining_work_s: Declared critical path from it to the end of the job,
@@ -199,6 +201,7 @@
     wants_advice: bool = False
     needs_ticket: bool = False
     reserved: frozenset[str] = frozenset()
+    blocked_since: float = 0.0
     failed_on: dict[int, set[str]] = dataclasses.field(default_factory=dict)
     explained_at: float = 0.0
     remaining_work_s: float = 0.0
@@ -245,6 +248,21 @@
         return self.stored_state
 
 
+@dataclasses.dataclass(slots=True)
+class BackendUse:
+    """Use of the workers of a back end that can take starts.
+
+    Attributes:
+        at: When it was computed.
+        used: Resources that runs occupy.
+        capacity: Capacity of the workers.
+    """
+
+    at: float
+    used: resources.Resources
+    capacity: resources.Resources
+
+
 @dataclasses.dataclass(slots=True)
 class Owner:
     """State that only the owner keeps.
@@ -293,6 +311,7 @@
         explain_at: When the log next explains what waits.
         status_at: When the log next describes the owner.
         exceeded: Teams whose usage exceeds their upper limit.
+        backend_use: Use of back ends where a step was starved, by name.
     """
 
     token: int
@@ -334,6 +353,7 @@
     explain_at: float = 0.0
     status_at: float = 0.0
     exceeded: set[str] = dataclasses.field(default_factory=set)
+    backend_use: dict[str, BackendUse] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/core/jobs/test_starvation.py
+++ b/tests/core/jobs/test_starvation.py
@@ -179,3 +179,51 @@
         waits = _starts(world, "large").values()
         self.assertEqual(4, len(waits))
         self.assertLess(max(waits), 6.0)
+
+
+class AgingTest(testtools.TestCase):
+    """Work that waits beside idle reserved workers starts within 3 s."""
+
+    def _occupy(self, *, cores=1):
+        """Runs one long task on each worker; a gang waits for their ends."""
+        world = _world()
+        step = model.Step(4, _cores(cores), 12.0, most_per_worker=1)
+        world.submit("long", step, queue=ROUTINE)
+        world.run(1.0)
+        gang = model.Step(4, _cores(4), 1.0, gang=True)
+        world.submit("gang", gang, queue=URGENT)
+        world.run(1.0)
+        return world
+
+    def test_a_job_is_not_starved_while_workers_drain_for_a_gang(self):
+        world = self._occupy()
+        world.submit("small", model.Step(2, CORE, 1.0), queue=ROUTINE)
+        world.run(LONGEST_IDLE_S)
+        self.assertLess(0, len(_starts(world, "small")))
+        world.run(15.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("gang"))
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("small"))
+        self.assertEqual([], world.violations)
+
+    def test_each_standing_task_starts_while_workers_drain_for_a_gang(self):
+        world = self._occupy()
+        step = model.Step(3, CORE, standing=True)
+        world.submit("standing", step, queue=ROUTINE)
+        world.run(LONGEST_IDLE_S)
+        self.assertEqual(3, len(_starts(world, "standing")))
+
+    def test_a_gang_is_not_starved_while_workers_drain_for_another(self):
+        world = self._occupy()
+        step = model.Step(4, CORE, 1.0, gang=True)
+        world.submit("small", step, queue=ROUTINE)
+        world.run(LONGEST_IDLE_S)
+        self.assertEqual(4, len(_starts(world, "small")))
+
+    def test_reservations_hold_while_most_of_the_capacity_is_in_use(self):
+        world = self._occupy(cores=3)
+        world.submit("small", model.Step(2, CORE, 1.0), queue=ROUTINE)
+        world.run(LONGEST_IDLE_S)
+        self.assertEqual({}, _starts(world, "small"))
+        world.run(15.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("gang"))
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("small"))
