Ask for advice first where the answer lets a task start

What callers saw: an accepted job of a queue that needs tickets stayed queued beside free workers.

Cause: steps that wait for room renew their tickets in order of urgency. A daemon makes one call at a time, a call takes up to 0.8 s and a ticket is valid for 1.5 s to 2 s, so 16 steps without room keep six daemons busy, and a less urgent step never gets its first ticket.

Evidence on the old code: with six daemons, calls of 0.6 s and more, and 16 urgent steps that wait (gangs that never fit; tasks of 2 cores where each worker has 1.5 free), four small jobs of a routine queue get no start in 3 s ("1 != 0" in both tests of AdviceTest).

Why the fix works: a call whose answer could let a task, or the whole gang, start now and that has found no idle daemon for 0.5 s goes before calls that only prepare for room to come. The daemon that is reserved for fast calls stays theirs.

Tried and given up: precedence without the 0.5 s.

--- a/packages/core/mimosaridge_core/jobs/advice_calls.py
+++ b/packages/core/mimosaridge_core/jobs/advice_calls.py
@@ -20,6 +20,10 @@
 # Interval at which a step is checked again when no worker needs a call: tickets
 # are renewed `RENEWAL_LEAD_S` before they expire.
 RECHECK_INTERVAL_S = 0.1
+# A step that could start with the answer precedes more urgent ones that could
+# not, after it has found no idle daemon for this time. With a call in progress
+# and its own call, it starts within the 3 s that users are owed.
+MAX_DENIED_S = 0.5
 
 
 def has_idle_asker(st: state.State, owner: state.Owner) -> bool:
@@ -52,26 +56,19 @@
     )
 
 
-def request_advice(
+def workers_to_ask(
     st: state.State,
-    owner: state.Owner,
     group: state.Group,
     advice: model.AdviceSettings,
     workers: list[str],
-    out: list,
-) -> bool:
-    """Requests tickets for new workers, or renews tickets that expire soon.
+) -> list[str]:
+    """Returns new workers, or else those whose tickets expire soon.
 
     Args:
         st: The state.
-        owner: The owner.
         group: The step.
         advice: The queue's advice settings.
         workers: Workers that could run the step, in order of preference.
-        out: Effects.
-
-    Returns:
-        False if a call is needed and no daemon can make it now.
     """
     known = group.tickets.keys() | group.unfit
     asked = [
@@ -79,11 +76,56 @@
         for worker_id in workers
         if worker_id not in known and not _is_requested(st, group, worker_id)
     ]
-    if not asked:
-        asked = _expiring_tickets(st, group, advice, workers)
-    if not asked:
-        group.next_advice_at = st.now + RECHECK_INTERVAL_S
+    return asked or _expiring_tickets(st, group, advice, workers)
+
+
+def denied_calls_s(st: state.State, groups: list[state.Group]) -> list[float]:
+    """Returns the durations of calls that have waited too long, in seconds.
+
+    Only calls of steps that could start with the answer are counted.
+    """
+    return [
+        group.denied_call_s
+        for group in groups
+        if group.denied_call_s and st.now - group.denied_since >= MAX_DENIED_S
+    ]
+
+
+def may_ask_ahead(
+    st: state.State,
+    owner: state.Owner,
+    duration_s: float,
+    denied_s: list[float],
+) -> bool:
+    """Returns whether to make a call whose answer lets no task start now.
+
+    Otherwise, steps that wait for room would renew their tickets with all
+    daemons, and a less urgent step with free workers would never get its first.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        duration_s: Expected duration of the call.
+        denied_s: Expected durations of the calls that have waited too
+            long for an idle daemon.
+    """
+    if not denied_s:
         return True
+    if min(denied_s) <= SLOW_CALL_S or duration_s > SLOW_CALL_S:
+        return False
+    # The daemons reserved for calls that aren't slow are no use to the others.
+    return not _idle_askers(st, owner, is_slow=True)
+
+
+def request_advice(
+    st: state.State,
+    owner: state.Owner,
+    group: state.Group,
+    advice: model.AdviceSettings,
+    asked: list[str],
+    out: list,
+) -> bool:
+    """Requests tickets; returns False if no daemon can make a call now."""
     # Daemons make the calls at the same time: the answer about all workers
     # takes no longer than that about the first.
     for first in range(0, len(asked), tunables.ADVICE_WORKERS):
@@ -103,9 +145,11 @@
 ) -> bool:
     """Makes an idle daemon call for advice; returns whether there is one."""
     duration_s = call_duration_s(advice, len(workers))
-    asker = _idle_asker(st, owner, duration_s > SLOW_CALL_S)
-    if asker is None:
+    idle = _idle_askers(st, owner, duration_s > SLOW_CALL_S)
+    if not idle:
         return False
+    owner.asked += 1
+    asker = idle[owner.asked % len(idle)]
     timeout_s = duration_s + tunables.ADVICE_GRACE_S
     owner.advice_busy[asker] = st.now + timeout_s
     for worker_id in workers:
@@ -138,10 +182,10 @@
     ]
 
 
-def _idle_asker(
+def _idle_askers(
     st: state.State, owner: state.Owner, is_slow: bool
-) -> str | None:
-    """Returns a daemon without a call in progress, or None."""
+) -> list[str]:
+    """Returns the daemons that can make a call now."""
     idle = [
         name
         for name in sorted(st.askers)
@@ -150,10 +194,7 @@
     reserved = 0
     if is_slow and len(st.askers) >= MIN_DAEMONS_TO_RESERVE:
         reserved = RESERVED_DAEMONS
-    if len(idle) <= reserved:
-        return None
-    owner.asked += 1
-    return idle[owner.asked % len(idle)]
+    return idle if len(idle) > reserved else []
 
 
 @dispatch.handles(events.AdviceAnswered)
--- a/packages/core/mimosaridge_core/jobs/fitting.py
+++ b/packages/core/mimosaridge_core/jobs/fitting.py
@@ -139,6 +139,23 @@
     return None
 
 
+def could_start(
+    group: state.Group, workers: list[state.Worker], reserved: set[str]
+) -> bool:
+    """Returns whether one waiting task, or the whole gang, has room now."""
+    if group.step.gang:
+        count = len(group.waiting)
+        return assign_gang(group, workers, reserved, count) is not None
+    needs = work.reserved_resources(group.step)
+    return any(
+        worker.entry.worker_id not in reserved
+        and fraction_left(worker, needs) is not None
+        and not interferes(group, worker)
+        and is_below_worker_limit(group, worker.entry.worker_id)
+        for worker in workers
+    )
+
+
 def interferes(group: state.Group, worker: state.Worker) -> bool:
     """Returns whether tasks that fill would share a worker with serving ones.
 
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -25,6 +25,7 @@
 from mimosaridge_core.jobs import starvation
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import teamlimits
+from mimosaridge_core.jobs import tunables
 from mimosaridge_core.jobs import work
 
 # Interval at which a step that found no room is examined again on all workers:
@@ -44,6 +45,8 @@
         examine_interval_s: Time until a step without room is examined again on
             all workers.
         has_idle_asker: Whether a daemon can ask for advice.
+        denied_calls_s: Expected durations, in seconds, of the calls for advice
+            that have waited too long for an idle daemon.
         reserved: Workers that later, less urgent steps of the pass must not
             use.
         standing: Standing runs of workers as far as they were needed, by
@@ -54,6 +57,7 @@
     freed: set[str]
     examine_interval_s: float
     has_idle_asker: bool
+    denied_calls_s: list[float]
     reserved: set[str] = dataclasses.field(default_factory=set)
     standing: dict[str, reserving.StandingRuns] = dataclasses.field(
         default_factory=dict
@@ -80,6 +84,7 @@
         freed,
         _examine_interval_s(len(waiting)),
         has_idle_asker,
+        advice_calls.denied_calls_s(st, waiting),
     )
     # Steps that are not due still keep the workers reserved for them.
     due_keys = {group.key for group in due}
@@ -164,6 +169,7 @@
     if is_full:
         group.examine_at = st.now + current.examine_interval_s
         group.is_limited = group.wants_advice = False
+        group.denied_call_s = 0.0
         group.reserved = frozenset()
     entry = st.table[group.job_id]
     if not work.is_ready(entry, group.repetition, group.number):
@@ -288,12 +294,50 @@
     ]
     large_enough.sort(key=lambda worker: worker.used.cpu_millis)
     ids = [worker.entry.worker_id for worker in large_enough]
+    asked = advice_calls.workers_to_ask(st, group, advice, ids)
+    if not asked:
+        group.next_advice_at = st.now + advice_calls.RECHECK_INTERVAL_S
+        return
+    duration_s = advice_calls.call_duration_s(
+        advice, min(len(asked), tunables.ADVICE_WORKERS)
+    )
+    could_start = _could_start(st, owner, current, group, pool, asked)
+    if not could_start and not advice_calls.may_ask_ahead(
+        st, owner, duration_s, current.denied_calls_s
+    ):
+        group.next_advice_at = st.now + advice_calls.RECHECK_INTERVAL_S
+        return
     group.wants_advice = not advice_calls.request_advice(
-        st, owner, group, advice, ids, out
+        st, owner, group, advice, asked, out
     )
+    if group.wants_advice and could_start:
+        group.denied_call_s = duration_s
+        group.denied_since = group.denied_since or st.now
+    else:
+        group.denied_since = 0.0
     current.has_idle_asker = advice_calls.has_idle_asker(st, owner)
 
 
+def _could_start(
+    st: state.State,
+    owner: state.Owner,
+    current: PlacementPass,
+    group: state.Group,
+    pool: dict[str, state.Worker],
+    asked: list[str],
+) -> bool:
+    """Returns whether tickets for workers could let a step start now."""
+    names = set(asked)
+    if group.step.gang:
+        names |= group.tickets.keys() & pool.keys()
+    workers = [pool[name] for name in names]
+    backend = backend_of(st, st.table[group.job_id])
+    reserved = current.reserved
+    if reserved and starvation.is_starved(st, owner, group, backend, pool):
+        reserved = set()
+    return fitting.could_start(group, workers, reserved)
+
+
 def _place_each(
     st: state.State,
     owner: state.Owner,
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -171,6 +171,10 @@
         examine_at: When placement examines it on all its workers again.
         is_limited: Whether its team's upper limit kept tasks from starting.
         wants_advice: Whether it needs a call for advice and no daemon was idle.
+        denied_call_s: Expected duration of that call, seconds, if the step
+            could start with the answer; 0 otherwise.
+        denied_since: Since when no daemon was idle for such a call; 0 after a
+            call.
         needs_ticket: Whether its queue requires tickets.
         reserved: Workers reserved for its waiting tasks, which are large.
         blocked_since: Since when it has found no room and has nothing running,
@@ -199,6 +203,8 @@
     examine_at: float = 0.0
     is_limited: bool = False
     wants_advice: bool = False
+    denied_call_s: float = 0.0
+    denied_since: float = 0.0
     needs_ticket: bool = False
     reserved: frozenset[str] = frozenset()
     blocked_since: float = 0.0
--- a/tests/core/jobs/test_starvation.py
+++ b/tests/core/jobs/test_starvation.py
@@ -227,3 +227,42 @@
         world.run(15.0)
         self.assertEqual(model.JobState.COMPLETED, world.state_of("gang"))
         self.assertEqual(model.JobState.COMPLETED, world.state_of("small"))
+
+
+class AdviceTest(testtools.TestCase):
+    """Calls for advice go first to steps that could start with the answer."""
+
+    SLOW = model.AdviceSettings(0.6, 0.01, 2.0)
+
+    def _world_of_waiting_gangs(self, step, *, count=16):
+        world = _world(urgent_advice=self.SLOW, advice=self.SLOW)
+        for number in range(count):
+            world.submit(f"waiting{number}", step, queue=URGENT)
+        world.run(5.0)
+        return world
+
+    def test_renewals_for_gangs_that_never_fit_keep_no_job_without_tickets(
+        self,
+    ):
+        step = model.Step(20, _cores(2), 1.0, gang=True)
+        world = self._world_of_waiting_gangs(step)
+        for number in range(4):
+            world.submit(f"r{number}", model.Step(1, CORE, 0.5), queue=ROUTINE)
+        world.run(LONGEST_IDLE_S)
+        for number in range(4):
+            self.assertEqual(1, len(_starts(world, f"r{number}")))
+
+    def test_renewals_for_tasks_without_room_keep_no_job_without_tickets(self):
+        world = _world(workers=8, urgent_advice=self.SLOW, advice=self.SLOW)
+        step = model.Step(8, _cores(2.5), standing=True, most_per_worker=1)
+        world.submit("standing", step, queue=ROUTINE)
+        world.run(2.0)
+        for number in range(16):
+            large = model.Step(1, _cores(2), 1.0)
+            world.submit(f"waiting{number}", large, queue=URGENT)
+        world.run(5.0)
+        for number in range(4):
+            world.submit(f"r{number}", model.Step(1, CORE, 0.5), queue=ROUTINE)
+        world.run(LONGEST_IDLE_S)
+        for number in range(4):
+            self.assertEqual(1, len(_starts(world, f"r{number}")))
