Don't close workers for tasks that fail everywhere

What callers saw: an accepted job stayed queued while all workers stood idle: their starts were suspended.

Cause: each failed run counts against its worker, and two in a row suspend it for 1 s, further ones for up to 4 s. A job whose tasks always fail suspends each worker that it meets. Standing tasks have no limit of attempts, so one such job closes a fleet for good.

Evidence on the old code: in three tests of FailingJobTest on 4 workers, beside one standing step of 4 tasks that always fail or one with many attempts, small jobs of the same queue get no start in 0.7 s and more ("1 != 0"), and beside two jobs of 8 tasks one waits 1.94 s.

Why the fix works: a failure counts against its worker only if the step hasn't failed on another worker too, or this task hasn't if others of the step were done. A tenth of a back end's workers, but one at least, is suspended for failures at a time, and never its only one. A worker that alone fails tasks of several jobs is still suspended (test, passes before and after).

Open: several sick workers beyond a tenth of a back end are no longer all suspended; tasks prefer workers without failures, as before.

--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -247,7 +247,10 @@
     group = owner.groups.get(f"{entry.job.job_id}.{repetition}.{number}")
     if group is not None:
         group.failed_on.setdefault(index, set()).add(worker.entry.worker_id)
-    count_worker_failure(st, worker)
+    if group is None or not _fails_elsewhere(
+        group, index, worker.entry.worker_id
+    ):
+        count_worker_failure(st, owner, worker)
     if step.standing:
         return
     failed_runs.append(row.run)
@@ -260,18 +263,49 @@
         work.finish(st, owner, entry, model.JobState.FAILED, out)
 
 
-def count_worker_failure(st: state.State, worker: state.Worker) -> None:
+def _fails_elsewhere(group: state.Group, index: int, worker_id: str) -> bool:
+    """Returns whether a failure tells about the step rather than the worker."""
+    if group.failed_on[index] - {worker_id}:
+        return True
+    if group.progress.done:
+        return False
+    return any(
+        failed_on - {worker_id} for failed_on in group.failed_on.values()
+    )
+
+
+def count_worker_failure(
+    st: state.State, owner: state.Owner, worker: state.Worker
+) -> None:
     """Suspends starts on a worker after several failures in a row.
 
-    The suspension doubles with each further failure, up to a limit.
+    The suspension doubles with each further failure, up to a limit. Only some
+    workers of a back end are suspended at a time: if more fail, the cause is
+    with the jobs.
     """
     worker.failures += 1
     excess = worker.failures - tunables.FAILURES_BEFORE_BACKOFF
-    if excess >= 0:
-        suspension_s = tunables.UNHEALTHY_BACKOFF_S * 2**excess
-        worker.backoff_until = st.now + min(
-            suspension_s, tunables.MAX_BACKOFF_S
-        )
+    if excess < 0 or not _may_suspend(st, owner, worker):
+        return
+    suspension_s = tunables.UNHEALTHY_BACKOFF_S * 2**excess
+    worker.backoff_until = st.now + min(suspension_s, tunables.MAX_BACKOFF_S)
+
+
+def _may_suspend(
+    st: state.State, owner: state.Owner, worker: state.Worker
+) -> bool:
+    """Returns whether enough other workers of the back end take starts."""
+    others = [
+        other
+        for other in owner.workers.values()
+        if other is not worker
+        and other.listed
+        and other.entry.backend == worker.entry.backend
+    ]
+    suspended = sum(other.backoff_until > st.now for other in others)
+    workers = len(others) + 1
+    most = max(1, int(tunables.MAX_SUSPENDED_SHARE * workers))
+    return bool(others) and suspended < most
 
 
 def _requeue(
--- a/tests/core/jobs/test_starvation.py
+++ b/tests/core/jobs/test_starvation.py
@@ -266,3 +266,71 @@
         world.run(LONGEST_IDLE_S)
         for number in range(4):
             self.assertEqual(1, len(_starts(world, f"r{number}")))
+
+
+class FailingJobTest(testtools.TestCase):
+    """A job whose tasks always fail closes no worker to others."""
+
+    RUN_S = 0.2
+
+    def _run(self, world, seconds):
+        """Advances time; runs of the job "poison" fail after `RUN_S`."""
+        end = world.now + seconds
+        while world.now < end:
+            for worker in world.workers.values():
+                for run in worker.running.values():
+                    if run.task_id.startswith("poison"):
+                        run.outcome = model.RunOutcome.FAILED
+                        run.ends_at = min(run.ends_at, world.now + self.RUN_S)
+            world.run(0.1)
+
+    def _check_not_starved(self, world, after_s=4.0):
+        self._run(world, after_s)
+        for number in range(4):
+            job_id = f"good{number}"
+            world.submit(job_id, model.Step(1, CORE, 0.5), queue=ROUTINE)
+            self._run(world, 0.7)
+        for number in range(4):
+            waits = _starts(world, f"good{number}").values()
+            self.assertEqual(1, len(waits))
+            self.assertLess(max(waits), 0.5)
+
+    def test_standing_tasks_that_always_fail_suspend_no_worker(self):
+        world = _world()
+        step = model.Step(4, CORE, standing=True)
+        world.submit("poison", step, queue=ROUTINE)
+        self._check_not_starved(world)
+
+    def test_many_tasks_that_always_fail_suspend_no_fleet(self):
+        world = _world()
+        configuration = world.daemons[0].configuration
+        queue = dataclasses.replace(
+            configuration.queues[ROUTINE], max_attempts=1000
+        )
+        world.configure(
+            dataclasses.replace(
+                configuration, version=3, queues={ROUTINE: queue}
+            )
+        )
+        world.submit("poison", model.Step(4, CORE, 1.0), queue=ROUTINE)
+        self._check_not_starved(world)
+
+    def test_jobs_that_always_fail_suspend_no_fleet(self):
+        world = _world()
+        for number in range(2):
+            step = model.Step(8, CORE, 1.0)
+            world.submit(f"poison{number}", step, queue=ROUTINE)
+        self._check_not_starved(world, after_s=1.0)
+
+    def test_a_worker_that_fails_tasks_of_several_jobs_is_suspended(self):
+        world = _world()
+        for number in range(6):
+            step = model.Step(4, CORE, 1.0)
+            world.submit(f"job{number}", step, queue=ROUTINE)
+        for _ in range(20):
+            for run in world.workers["w1"].running.values():
+                run.outcome = model.RunOutcome.FAILED
+                run.ends_at = min(run.ends_at, world.now + self.RUN_S)
+            world.run(0.1)
+        worker = world.daemons[0].owner.workers["w1"]
+        self.assertGreater(worker.backoff_until, 0.0)
