Ignore advice about a worker's former life

Cause: a call for advice may be answered after its worker has restarted or left the list. The answer was stored for the new life: a worker it left out stayed unfit for the step for good, and its ticket led to a refused start.

Evidence on the old code: three tests of AdviceTest with one worker. After a restart during the call, or after leaving the list and coming back, the job gets no start in 3 s ("1 != 0"); a ticket of the former life is used for a start ("!=", a start where none was expected).

Why the fix works: a call records the start of the incarnation that it is about; of the answer only workers count that are held, listed and still in that life. The others are asked about again.

Refuted: a worker's record that is deleted and made anew keeps no unfit mark by itself: it is deleted only after reset_worker, which clears marks and tickets; only an answer after that could leave one.

--- a/packages/core/mimosaridge_core/jobs/advice_calls.py
+++ b/packages/core/mimosaridge_core/jobs/advice_calls.py
@@ -154,6 +154,7 @@
     owner.advice_busy[asker] = st.now + timeout_s
     for worker_id in workers:
         group.advice_pending[worker_id] = st.now + timeout_s
+        group.advice_lives[worker_id] = owner.workers[worker_id].born
     out.append(effects.AskAdvice(asker, group.key, tuple(workers), timeout_s))
     return True
 
@@ -221,11 +222,17 @@
     group = owner.groups.get(event.group)
     if group is None:
         return
+    current = [
+        worker_id
+        for worker_id in event.asked
+        if _is_current(owner, group, worker_id)
+    ]
     for worker_id in event.asked:
         group.advice_pending.pop(worker_id, None)
+        group.advice_lives.pop(worker_id, None)
     if not event.answered:
         return
-    for worker_id in event.asked:
+    for worker_id in current:
         if worker_id in event.tickets:
             group.tickets[worker_id] = state.Ticket(
                 event.tickets[worker_id], st.now + event.valid_s
@@ -234,3 +241,18 @@
             group.unfit.add(worker_id)
     group.next_advice_at = 0.0
     group.examine_at = 0.0
+
+
+def _is_current(owner: state.Owner, group: state.Group, worker_id: str) -> bool:
+    """Returns whether a call was about a worker as it is now.
+
+    A ticket is valid for one life of its worker. A worker that has left the
+    list may be missing in an answer although it is good.
+    """
+    worker = owner.workers.get(worker_id)
+    return (
+        worker is not None
+        and worker.held
+        and worker.listed
+        and worker.born == group.advice_lives.get(worker_id)
+    )
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -165,6 +165,8 @@
         unfit: Workers for which the advice service returned no ticket.
         advice_pending: Workers with a call for advice in flight, with the time
             at which the call expires.
+        advice_lives: Start of the incarnation that each of these calls is
+            about, by worker.
         next_advice_at: No call for advice before that time.
         retry_at: No start before that time.
         preempt_after: No preemption for this group before that time.
@@ -197,6 +199,7 @@
     tickets: dict[str, Ticket] = dataclasses.field(default_factory=dict)
     unfit: set[str] = dataclasses.field(default_factory=set)
     advice_pending: dict[str, float] = dataclasses.field(default_factory=dict)
+    advice_lives: dict[str, int] = dataclasses.field(default_factory=dict)
     next_advice_at: float = 0.0
     retry_at: float = 0.0
     preempt_after: float = 0.0
--- a/tests/core/jobs/test_starvation.py
+++ b/tests/core/jobs/test_starvation.py
@@ -267,6 +267,38 @@
         for number in range(4):
             self.assertEqual(1, len(_starts(world, f"r{number}")))
 
+    def _ask_about_the_only_worker(self, good_share=0.0):
+        """Asks for advice; the answer, 0.6 s later, finds it unfit or good."""
+        world = _world(workers=1, urgent_advice=self.SLOW)
+        world.good_share = good_share
+        world.submit("j1", model.Step(1, CORE, 0.5), queue=URGENT)
+        world.run(0.1)
+        world.good_share = 1.0
+        return world
+
+    def test_an_answer_about_a_former_life_does_not_make_a_worker_unfit(self):
+        world = self._ask_about_the_only_worker()
+        world.restart_worker("w0")
+        world.run(LONGEST_IDLE_S)
+        self.assertEqual(1, len(_starts(world, "j1")))
+
+    def test_a_ticket_of_a_former_life_is_not_used(self):
+        world = self._ask_about_the_only_worker(good_share=1.0)
+        world.restart_worker("w0")
+        world.run(1.0)
+        self.assertEqual([], world.starts)
+        world.run(1.0)
+        self.assertEqual(1, len(world.starts))
+
+    def test_an_answer_about_an_unlisted_worker_does_not_make_it_unfit(self):
+        world = self._ask_about_the_only_worker()
+        entry = world.workers["w0"].entry
+        world.unlist_worker("w0")
+        world.run(1.0)
+        world.deliver(0, events.WorkerChanged(world.now, "w0", entry))
+        world.run(LONGEST_IDLE_S)
+        self.assertEqual(1, len(_starts(world, "j1")))
+
 
 class FailingJobTest(testtools.TestCase):
     """A job whose tasks always fail closes no worker to others."""
