Keep a gang running when an earlier run's end comes late

A gang is stopped and starts anew without cause.

Cause: each end of a run of a gang stops all its current runs, also the end of a run by a former owner that a worker reports when it can be reached again, seconds after the gang was started anew elsewhere. Each such worker stops it once more.

Evidence on the old code: test_an_end_of_a_former_owner_does_not_stop_a_ gang_again: a worker is cut off, another daemon takes over and starts the gang anew; when the worker is back, the gang is stopped and started a third time ("4 != 6" starts).

Why the fix works: the runs of a gang's members share a number, and later ones are higher. An end stops only runs that aren't newer.

--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -187,7 +187,7 @@
             st, owner, worker, entry, (repetition, number, index), row, out
         )
     if entry.job.job_id in owner.jobs:
-        _requeue(st, owner, group, index, out)
+        _requeue(st, owner, group, index, row.run, out)
 
 
 def mark_lost(
@@ -313,17 +313,23 @@
     owner: state.Owner,
     group: state.Group | None,
     index: int,
+    ended_run: int,
     out: list,
 ) -> None:
-    """Queues a task again; a gang only after all its runs have ended."""
+    """Queues a task again; a gang only after all its runs have ended.
+
+    The end of an earlier run of the gang, which a worker may report late, does
+    not end the current one.
+    """
     if group is None or group.key not in owner.groups:
         return
     if group.step.gang:
         for runs in group.runs.values():
             for run in runs:
-                stopping.stop_run(
-                    st, owner, run, "another gang member ended", out
-                )
+                if run.run <= ended_run:
+                    stopping.stop_run(
+                        st, owner, run, "another gang member ended", out
+                    )
         if group.runs:
             return
         group.waiting = set(range(group.step.tasks)) - set(group.progress.done)
--- a/tests/core/jobs/test_starvation.py
+++ b/tests/core/jobs/test_starvation.py
@@ -366,3 +366,29 @@
             world.run(0.1)
         worker = world.daemons[0].owner.workers["w1"]
         self.assertGreater(worker.backoff_until, 0.0)
+
+
+class TakeOverTest(testtools.TestCase):
+    """Runs of a former owner disturb no current ones."""
+
+    def test_an_end_of_a_former_owner_does_not_stop_a_gang_again(self):
+        world = _world(workers=4, urgent_advice=None)
+        step = model.Step(2, _cores(3), 8.0, gang=True)
+        world.submit("gang", step, queue=URGENT)
+        world.run(0.5)
+        cut = world.workers[world.starts[0].worker_id]
+        cut.is_reachable = False
+        world.run(1.0)
+        world.claim(1)
+        for worker in world.workers.values():
+            for run in worker.running.values():
+                run.outcome = model.RunOutcome.LAPSED
+                run.ends_at = world.now
+        world.run(9.0)
+        before = len(world.starts)
+        self.assertEqual(4, before)
+        cut.is_reachable = True
+        world.run(3.0)
+        self.assertEqual(before, len(world.starts))
+        world.run(8.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("gang"))
