--- a/packages/core/mimosaridge_core/jobs/reducer.py
+++ b/packages/core/mimosaridge_core/jobs/reducer.py
@@ -25,9 +25,22 @@
 )
 
 
-def reduce(st: state.State, event: events.Tick) -> list:
-    """Applies an event to the state and returns the effects, in order."""
-    out: list = []
+def reduce(
+    st: state.State, event: events.Tick, out: list | None = None
+) -> list:
+    """Applies an event to the state.
+
+    Args:
+        st: The state.
+        event: The event.
+        out: List that receives the effects. After an exception it holds those
+            produced before, which the state already reflects.
+
+    Returns:
+        The effects, in order.
+    """
+    if out is None:
+        out = []
     st.now = max(st.now, event.now)
     dispatch.HANDLERS[type(event)](st, event, out)
     return out
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -320,6 +320,8 @@
         explain_at: When the log next explains what waits.
         status_at: When the log next describes the owner.
         exceeded: Teams whose usage exceeds their upper limit.
+        failure_logged_at: When the failure of a part of a tick was last logged,
+            by part.
         backend_use: Use of back ends where a step was starved, by name.
     """
 
@@ -362,6 +364,9 @@
     explain_at: float = 0.0
     status_at: float = 0.0
     exceeded: set[str] = dataclasses.field(default_factory=set)
+    failure_logged_at: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     backend_use: dict[str, BackendUse] = dataclasses.field(default_factory=dict)
 
 
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -249,11 +249,12 @@
                 gevent.sleep(DECISION_PAUSE_S)
 
     def _handle(self, event: Any) -> None:
+        produced: list = []
         try:
-            produced = reducer.reduce(self.state, event)
+            reducer.reduce(self.state, event, produced)
         except Exception:
+            # The state already reflects the effects produced before.
             LOG.exception("{} failed", type(event).__name__)
-            return
         for effect in produced:
             self._execute(effect)
 
