Keep starts that a worker's next incarnation may have carried out

Callers saw: tasks ran twice, and a team had more running than its upper limit.

Cause: a start that is sent after a worker has restarted, but before the owner knows, is carried out by the next incarnation, which has the same id and the same address. When the owner heard of that incarnation, it ended all runs in its records and started their tasks again elsewhere.

Evidence, on the code before: 3 tasks start on the next incarnation, then its entry arrives: "TWICE j1.0.0.2 run on w0: ['w0', 'w1']" and "QUOTA j1.0.0.2 run on w0: a has 6000 cpu_millis running; it may have 4000".

Fix: if the next incarnation has the same address, only runs that the ended one has listed end with it. The others end when the next one doesn't list them, or after the longest lease. Runs on a worker with another address end as before.

--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -94,7 +94,8 @@
         )
         return
     elif _is_other_incarnation(worker, entry):
-        reset_worker(st, owner, worker, out)
+        is_at_address = entry.address == worker.entry.address
+        reset_worker(st, owner, worker, out, is_at_address)
     worker.entry = entry
     worker.listed = True
     if not worker.hold_open:
@@ -125,14 +126,28 @@
 
 
 def reset_worker(
-    st: state.State, owner: state.Owner, worker: state.Worker, out: list
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    out: list,
+    is_at_address: bool = False,
 ) -> None:
     """Ends all runs of a worker's incarnation and begins the next one.
 
     Called when the worker has restarted or its lease has expired.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        worker: The worker.
+        out: Effects.
+        is_at_address: Whether its next incarnation has the same address. That
+            may have begun the runs that the ended one never listed; these end
+            if it doesn't list them either.
     """
     for run in list(worker.runs.values()):
-        runs.mark_lost(st, owner, worker, run, out)
+        if run.is_listed or not is_at_address:
+            runs.mark_lost(st, owner, worker, run, out)
     was_held = worker.held
     worker.held = False
     # An entry that seemed older may be that of the next incarnation.
@@ -142,6 +157,8 @@
     worker.clock_at = 0.0
     worker.lease_until_ms = 0
     worker.lease_ends_at = 0.0
+    if worker.runs:
+        leases.assume_longest(st, worker)
     worker.lease_requested = False
     worker.failures = 0
     worker.backoff_until = 0.0
@@ -269,7 +286,7 @@
     out: list,
 ) -> None:
     if worker.held and event.born != worker.born:
-        reset_worker(st, owner, worker, out)
+        reset_worker(st, owner, worker, out, is_at_address=True)
     if not worker.held or worker.unanswered:
         effects.log_decision(
             out,
@@ -312,6 +329,7 @@
         if run.phase == state.Phase.STARTING:
             run.phase = state.Phase.RUNNING
             run.acknowledged_at = st.now
+        run.is_listed = True
         run.saved = row.saved
         run.percent = row.percent
 
--- a/packages/core/mimosaridge_core/jobs/leases.py
+++ b/packages/core/mimosaridge_core/jobs/leases.py
@@ -25,6 +25,12 @@
     extend(worker, until_ms)
 
 
+def assume_longest(st: state.State, worker: state.Worker) -> None:
+    """Assumes the longest lease, for a worker whose clock is not known."""
+    longest_s = st.bounds.longest_lease_s / (1 - tunables.MAX_CLOCK_DRIFT)
+    worker.lease_ends_at = st.now + longest_s + tunables.LEASE_MARGIN_S
+
+
 def extend(worker: state.Worker, until_ms: int) -> None:
     """Extends a worker's lease to a time on its clock; never shortens it.
 
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -51,6 +51,7 @@
         saved=row.saved,
         percent=row.percent,
         percent_at=st.now,
+        is_listed=True,
     )
     _describe(st, worker, run)
     add(owner, worker, run)
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -42,6 +42,7 @@
         percent: Progress as last reported.
         percent_at: When the progress last changed.
         why_stopped: Reason for the stop; empty if none was sent.
+        is_listed: Whether its worker has listed it as running.
         is_latency_sensitive: Whether its step has a latency target.
         fills: Whether it is backfill: it uses processor time that other runs
             leave idle.
@@ -61,6 +62,7 @@
     percent: float = -1.0
     percent_at: float = 0.0
     why_stopped: str = ""
+    is_listed: bool = False
     is_latency_sensitive: bool = False
     fills: bool = False
 
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -416,6 +416,45 @@
         self.assertEqual([], world.violations)
         self.assertEqual(3, len(world.starts))
 
+    def test_a_start_that_the_next_incarnation_carried_out_is_kept(self):
+        world = _world(workers=2)
+        # Only the worker that restarts has room.
+        world.submit("j0", model.Step(1, resources.Resources(100, 4096), 30.0))
+        world.run(0.5)
+        restarted = "w1" if world.starts[0].worker_id == "w0" else "w0"
+        old = world.workers[restarted].entry
+        new = dataclasses.replace(old, born=old.born + 1)
+        world.crash_worker(restarted)
+        world.workers[restarted] = jobworkers.Worker(new)
+        world.submit("j1", model.Step(3, CORE, 30.0))
+        world.run(0.1)
+        self.assertEqual(4, _running(world))
+        world.cancel("j0")
+        world.run(0.2)
+        world.deliver(0, events.WorkerChanged(world.now, restarted, new))
+        # The starts' lease lasts longer than that.
+        world.run(0.8)
+        self.assertEqual([], world.violations)
+        self.assertEqual(4, len(world.starts))
+        world.run(5.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(3, _running(world))
+
+    def test_a_start_that_no_incarnation_carried_out_is_repeated(self):
+        world = _world(workers=1)
+        old = world.workers["w0"].entry
+        new = dataclasses.replace(old, born=old.born + 1)
+        world.submit("j1", model.Step(3, CORE, 1.0))
+        world.run(0.04)
+        self.assertEqual(3, _running(world))
+        world.crash_worker("w0")
+        world.workers["w0"] = jobworkers.Worker(new)
+        world.deliver(0, events.WorkerChanged(world.now, "w0", new))
+        world.run(4.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertEqual(6, len(world.starts))
+        self.assertEqual([], world.violations)
+
     def test_an_incarnation_that_seems_older_is_used_after_the_lease(self):
         world = _world(workers=1)
         old = world.workers["w0"].entry
