--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -1,7 +1,11 @@
 """Upper limits of teams, also beside a change of owner."""
 
 import dataclasses
+import random
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
 import testtools
 
 from mimosaridge_core import resources
@@ -467,3 +471,55 @@
         world.run(3.0)
         self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
         self.assertEqual({"w0:81"}, {start.address for start in world.starts})
+
+
+class RandomTest(testtools.TestCase):
+    """Changes of owner, cuts and restarts whose entries arrive late."""
+
+    @settings(max_examples=25, deadline=None)
+    @given(strategies.integers(0, 10_000))
+    def test_no_team_is_above_its_limit(self, seed):
+        rng = random.Random(seed)
+        world = jobclusters.Cluster(workers=5, seed=seed)
+        limit = resources.Resources(rng.choice((4000, 8000)), 0, 0)
+        world.configure(world.configuration(version=2, upper_limit=limit))
+        world.run(jobclusters.CONFIGURATION_APPLY_S)
+        world.claim(0)
+        for number in range(24):
+            for part in range(rng.randint(0, 3)):
+                step = model.Step(
+                    rng.randint(1, 4),
+                    resources.Resources(rng.choice((500, 1000, 2500)), 100, 0),
+                    rng.uniform(0.5, 6.0),
+                    fills=rng.random() < 0.2,
+                )
+                world.submit(f"j{number}-{part}", step)
+            world.run(rng.uniform(0.05, 1.2))
+            self._inject_fault(world, rng)
+        world.run(10.0)
+        self.assertEqual([], world.violations)
+
+    def _inject_fault(self, world, rng):
+        worker_id = rng.choice(sorted(world.workers))
+        worker = world.workers[worker_id]
+        entry, number = worker.entry, rng.randrange(2)
+        kind = rng.randrange(6)
+        if kind == 0:
+            worker.is_reachable = not worker.is_reachable
+        elif kind == 1:
+            world.claim(number)
+        elif kind == 2:
+            world.crash_worker(worker_id)
+            next_entry = dataclasses.replace(entry, born=entry.born + 1)
+            world.workers[worker_id] = jobworkers.Worker(next_entry)
+        elif kind == 3:
+            world.deliver(
+                number, events.WorkerChanged(world.now, worker_id, entry)
+            )
+        elif kind == 4:
+            older = dataclasses.replace(entry, born=entry.born - 1)
+            world.deliver(
+                number, events.WorkerChanged(world.now, worker_id, older)
+            )
+        else:
+            world.faults.late_call_share = rng.choice((0.0, 0.1))
