Start nothing on a worker before its incarnation's entry is read

Callers saw nothing yet; a start could bring a worker over its capacity.

Cause: a worker that restarts may be of another kind at the same address. Its answer to a hold may come before its entry, and until then the owner placed tasks by the capacity and the labels of the ended incarnation.

Evidence, on the code before: a worker of 4 cores restarts with 2 and answers before its entry is read: "LIMIT j1.0.0.2 run on w0".

Fix: a worker takes starts only if its entry has the start time with which it answers; answers without a start time are not compared.

The stand-in of the platform gave a worker's entry and its answers different start times, which the protocol says are the same; it now gives the same.

Tests run: tests/core/jobs and tests/platform/test_jobs.py, passed.

--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -140,6 +140,8 @@
             and worker.clock_at
             and worker.listed
             and not worker.unanswered
+            # The next incarnation may have another capacity and other labels.
+            and worker.born in (0, worker.entry.born)
             and not worker.entry.draining
             and worker.entry.zone not in st.zones_out
             and worker_id in stored
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -420,6 +420,21 @@
         self.assertEqual([], world.violations)
         self.assertEqual(3, len(world.starts))
 
+    def test_nothing_starts_on_an_incarnation_without_an_entry(self):
+        world = _world(workers=1)
+        old = world.workers["w0"].entry
+        smaller = resources.Resources(2000, 4096)
+        new = dataclasses.replace(old, born=old.born + 1, capacity=smaller)
+        world.crash_worker("w0")
+        world.workers["w0"] = jobworkers.Worker(new)
+        world.run(3.0)
+        world.submit("j1", model.Step(4, CORE, 30.0))
+        world.run(0.5)
+        world.deliver(0, events.WorkerChanged(world.now, "w0", new))
+        world.run(1.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(2, _running(world))
+
     def test_a_start_that_the_next_incarnation_carried_out_is_kept(self):
         world = _world(workers=2)
         # Only the worker that restarts has room.
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -88,6 +88,7 @@
 
     Attributes:
         token: Highest fencing token received.
+        born: Start of its process, Unix milliseconds.
         lease_until_ms: End of the lease on the workers' clock.
         running: End times in milliseconds by task and run.
         ended: Ended runs that are not yet acknowledged.
@@ -102,6 +103,7 @@
         self.name = name
         self.cpu = cpu
         self.token = 0
+        self.born = int(time.time() * 1000)
         self.lease_until_ms = 0
         self.running = {}
         self.ended = []
@@ -257,7 +259,7 @@
             "gpus": 0,
         },
         "labels": ["a", "r1"],
-        "born": int(time.time() * 1000),
+        "born": worker.born,
         "sequence": 1,
     }
     store.revision += 1
@@ -325,7 +327,7 @@
             200,
             {
                 "clockMs": clock_ms(),
-                "born": 1,
+                "born": worker.born,
                 "running": running,
                 "ended": worker.ended,
             },
