Acknowledge no ends on a worker that may have restarted

Callers saw: a task started again after it was done.

Cause: a hold acknowledges the ends that are stored by their number. A worker that restarts numbers its ends anew, so the first hold that reached the next incarnation made it forget ends that the owner had not seen.

Evidence, on the code before: one end is stored, the worker restarts, a task starts and ends there before the next hold: "TWICE after done j1.0.0.0 run on w0".

Fix: after a hold without an answer, the next one acknowledges nothing. Ends that the worker lists again are known by their number.

Tests run: tests/core/jobs, passed.

--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -211,7 +211,8 @@
             worker.entry.worker_id,
             worker.entry.address,
             owner.token,
-            worker.acknowledged_end,
+            # The next incarnation numbers its ends anew.
+            0 if worker.unanswered else worker.acknowledged_end,
             worker.lease_until_ms,
             _long_poll_ms(st, owner) if is_long_poll else 0,
             worker.incarnation,
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -459,6 +459,22 @@
         self.assertEqual([], world.violations)
         self.assertEqual(3, _running(world))
 
+    def test_an_end_of_the_next_incarnation_is_not_lost(self):
+        world = _world(workers=1)
+        world.submit("j0", model.Step(1, CORE, 0.3))
+        world.run(1.0)
+        old = world.workers["w0"].entry
+        new = dataclasses.replace(old, born=old.born + 1)
+        world.crash_worker("w0")
+        world.workers["w0"] = jobworkers.Worker(new)
+        world.submit("j1", model.Step(1, CORE, 0.1))
+        world.run(3.0)
+        world.deliver(0, events.WorkerChanged(world.now, "w0", new))
+        world.run(3.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(2, len(world.starts))
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+
     def test_a_start_that_no_incarnation_carried_out_is_repeated(self):
         world = _world(workers=1)
         old = world.workers["w0"].entry
