Keep the wait for a worker not yet held when an older entry arrives

Callers saw: a team had more running than its upper limit.

Cause: a change of a worker's entry to an earlier or later start time took it off the workers not yet held. A new owner reads the list of workers after its claim, and changes older than the list may arrive after it. The runs of the cut off worker then counted no longer.

Evidence, on the code before: 4 tasks on a worker that is cut off, a change of owner, an older entry, then the same as before: "QUOTA j2.0.0.3 run on w1: a has 8000 cpu_millis running; it may have 4000".

Fix: an older entry is not used while the worker is not held and may run tasks of former owners; when that time ends, the entry is used whatever its time.

In the random test, a daemon that claims ownership now reads the workers first, as the real one does.

--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -84,13 +84,13 @@
     if worker is None:
         worker = state.Worker(entry)
         owner.workers[worker_id] = worker
-    elif _is_older(worker, entry):
+    elif _is_older(owner, worker, entry):
         effects.log_decision(
             out,
             "worker-entry-older",
             worker=worker_id,
             born=entry.born,
-            answered_born=worker.born,
+            known_born=max(worker.born, worker.entry.born),
         )
         return
     elif _is_other_incarnation(worker, entry):
@@ -102,12 +102,19 @@
         send_hold(st, owner, worker, out)
 
 
-def _is_older(worker: state.Worker, entry: model.WorkerEntry) -> bool:
-    """Returns whether an entry is older than the incarnation that answers.
+def _is_older(
+    owner: state.Owner, worker: state.Worker, entry: model.WorkerEntry
+) -> bool:
+    """Returns whether an entry is older than what is known of its worker.
 
-    A list of workers may arrive after changes that are newer than it.
+    A list of workers may arrive after changes that are newer than it, and
+    changes after a list. A worker that may run tasks of former owners keeps its
+    newest entry; otherwise the incarnation that answers counts.
     """
-    return worker.held and entry.born < worker.born
+    if worker.held:
+        return entry.born < worker.born
+    is_unheld = worker.entry.worker_id in owner.unheld
+    return is_unheld and entry.born < worker.entry.born
 
 
 def _is_other_incarnation(
@@ -383,3 +390,5 @@
     for worker_id, until in list(owner.unheld.items()):
         if st.now > until:
             del owner.unheld[worker_id]
+            # An entry that seemed older may be that of the next incarnation.
+            sync_worker(st, owner, worker_id, out)
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -401,6 +401,26 @@
         world.deliver(0, events.WorkerChanged(world.now, new.worker_id, new))
         self._assert_one_run_of_each_task(world)
 
+    def test_an_older_entry_of_a_cut_off_worker_ends_no_wait(self):
+        world = _world(workers=2)
+        world.submit("j1", model.Step(4, CORE, 30.0))
+        world.run(0.5)
+        entry = world.workers[world.starts[0].worker_id].entry
+        world.workers[entry.worker_id].is_reachable = False
+        world.run(2.5)
+        world.frozen.add(0)
+        world.claim(1)
+        world.run(0.2)
+        older = dataclasses.replace(entry, born=entry.born - 1)
+        for changed in (older, entry):
+            world.deliver(
+                1, events.WorkerChanged(world.now, entry.worker_id, changed)
+            )
+        world.submit("j2", model.Step(4, CORE, 30.0))
+        world.run(10.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(8, len(world.starts))
+
     def test_an_entry_without_a_start_time_ends_no_runs(self):
         world, old, _ = self._restart_with_runs()
         odd = dataclasses.replace(old, born=0)
@@ -538,6 +558,9 @@
         if kind == 0:
             worker.is_reachable = not worker.is_reachable
         elif kind == 1:
+            # A daemon that claims ownership reads the workers first.
+            listed = {name: w.entry for name, w in world.workers.items()}
+            world.deliver(number, events.WorkersListed(world.now, listed))
             world.claim(number)
         elif kind == 2:
             world.crash_worker(worker_id)
