Check starvation, gangs, places and tickets in the simulated cluster

The simulated cluster noticed none of the reported faults: it checked no starvation, its workers ran the members of a gang one by one, accepted any ticket, and its only doubtful write was one that took effect.

Tickets are checked by the worker, which refuses a start without a valid one.

--- a/standins/mimosaridge_fakes/jobworkers.py
+++ b/standins/mimosaridge_fakes/jobworkers.py
@@ -1,6 +1,7 @@
 """In-memory workers that execute holds, starts and stops of job tasks."""
 
 import dataclasses
+import math
 
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
@@ -19,9 +20,11 @@
         run: Its number.
         ends_at: Time at which it ends, in seconds.
         outcome: Outcome that it ends with at `ends_at`.
-        needs: Resources that it uses.
-        fills: Whether it is backfill.
+        needs: Resources that it occupies on its worker, without the processor
+            time of backfill.
         duration_s: Its total run time, in seconds.
+        started_at: When it started, in seconds.
+        team_needs: Resources that count against its team's upper limit.
     """
 
     task_id: str
@@ -30,14 +33,32 @@
     outcome: str
     needs: resources.Resources
     duration_s: float = 1.0
-    fills: bool = False
+    started_at: float = 0.0
+    team_needs: resources.Resources = resources.ZERO
 
     def percent(self, now: float) -> int:
         """Returns its progress in percent."""
+        if self.ends_at == math.inf:
+            return 0
         remaining = max(0.0, self.ends_at - now) / self.duration_s
         return max(0, int(100 * (1 - remaining)))
 
 
+@dataclasses.dataclass(slots=True)
+class Gang:
+    """The members of one run of a gang.
+
+    Attributes:
+        size: Number of its tasks, which work only together.
+        members: Workers that run its tasks, by task id.
+        is_working: Whether all members were present at a time.
+    """
+
+    size: int
+    members: dict[str, "Worker"] = dataclasses.field(default_factory=dict)
+    is_working: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class Worker:
     """One incarnation of a worker process.
@@ -46,6 +67,7 @@
         entry: Its entry in the list of workers.
         is_up: Whether it runs.
         is_reachable: Whether calls reach it.
+        unreachable_from: Numbers of daemons whose calls do not reach it.
         token: Highest fencing token that it has received.
         lease_until: End of its lease, in seconds.
         running: Runs by task and run number.
@@ -60,6 +82,7 @@
     entry: model.WorkerEntry
     is_up: bool = True
     is_reachable: bool = True
+    unreachable_from: set[int] = dataclasses.field(default_factory=set)
     token: int = 0
     lease_until: float = 0.0
     running: dict[tuple[str, int], Running] = dataclasses.field(
@@ -72,17 +95,18 @@
     advanced_at: float = 0.0
     longest_lease_s: float = 6.0
 
-    def used(self) -> resources.Resources:
-        """Returns what its runs use of its capacity.
-
-        The processor time of backfill is not counted.
-        """
-        runs = self.running.values()
-        uncounted = sum(run.needs.cpu_millis for run in runs if run.fills)
-        return resources.total([run.needs for run in runs]) - (
-            resources.Resources(uncounted)
+    def answers(self, number: int) -> bool:
+        """Returns whether calls of a daemon reach it."""
+        return (
+            self.is_up
+            and self.is_reachable
+            and number not in self.unreachable_from
         )
 
+    def used(self) -> resources.Resources:
+        """Returns what its runs use of its capacity."""
+        return resources.total([run.needs for run in self.running.values()])
+
     def advance(self, now: float) -> None:
         """Ends runs that are due, or all of them if the lease has expired."""
         if self.is_hanging:
@@ -92,12 +116,13 @@
         self.advanced_at = now
         if now >= self.lease_until:
             for run in list(self.running.values()):
-                self._end(run, model.RunOutcome.LAPSED)
+                self.end(run, model.RunOutcome.LAPSED)
         for run in list(self.running.values()):
             if now >= run.ends_at:
-                self._end(run, run.outcome)
+                self.end(run, run.outcome)
 
-    def _end(self, run: Running, outcome: str) -> None:
+    def end(self, run: Running, outcome: str) -> None:
+        """Ends a run and reports it as ended."""
         del self.running[(run.task_id, run.run)]
         self.ends += 1
         self.closed[run.task_id] = max(run.run, self.closed.get(run.task_id, 0))
@@ -127,18 +152,27 @@
         return events.CallResult.DONE, running, tuple(self.ended)
 
     def start(
-        self, order: effects.Start, now: float, run: Running
+        self,
+        order: effects.Start,
+        now: float,
+        run: Running,
+        has_ticket: bool = True,
     ) -> events.CallResult:
-        """Executes a start."""
+        """Executes a start; also one that it refuses may extend the lease."""
         if order.token < self.token:
             return events.CallResult.FENCED
         self.token = order.token
         if (order.task_id, order.run) in self.running:
             return events.CallResult.DONE
-        if order.run <= self.closed.get(order.task_id, 0):
-            return events.CallResult.REFUSED
         if now * 1000 > order.start_before_ms:
             return events.CallResult.REFUSED
+        if order.run <= self.closed.get(order.task_id, 0):
+            self.lease_until = max(
+                self.lease_until, order.start_before_ms / 1000
+            )
+            return events.CallResult.REFUSED
+        if not has_ticket:
+            return events.CallResult.NO_TICKET
         self.lease_until = max(self.lease_until, order.start_before_ms / 1000)
         self.running[(order.task_id, order.run)] = run
         return events.CallResult.DONE
