--- a/tests/core/jobs/test_random_starvation.py
+++ b/tests/core/jobs/test_random_starvation.py
@@ -18,6 +18,7 @@
 # Most time for which a job that could run may have nothing running.
 LONGEST_IDLE_S = 3.0
 CHECK_INTERVAL_S = 0.1
+FAILING_RUN_S = 0.3
 JOBS = 25
 QUEUES = ("urgent", "routine", "free")
 TEAM_LIMIT = resources.Resources(40_000, 0, 0)
@@ -65,6 +66,15 @@
     )
 
 
+def _fail_runs(world, jobs):
+    """Makes the runs of jobs fail soon."""
+    for worker in world.workers.values():
+        for run in worker.running.values():
+            if run.task_id.partition(".")[0] in jobs:
+                run.outcome = model.RunOutcome.FAILED
+                run.ends_at = min(run.ends_at, world.now + FAILING_RUN_S)
+
+
 class Watch:
     """Looks for waiting tasks beside unused capacity.
 
@@ -153,15 +163,33 @@
     @settings(max_examples=60)
     @given(strategies.integers(0, 10_000))
     def test_no_job_waits_beside_unused_capacity(self, seed):
+        self._play(seed, failing_share=0.0)
+
+    # Regressions: in these seeds failing jobs kept workers suspended.
+    @example(26)
+    @example(27)
+    @settings(max_examples=40)
+    @given(strategies.integers(0, 10_000))
+    def test_jobs_that_always_fail_starve_no_other(self, seed):
+        self._play(seed, failing_share=0.1)
+
+    def _play(self, seed, failing_share):
         rng = random.Random(seed)
         world = _world(rng, seed)
         watch = Watch(world)
+        failing = set()
         for number in range(JOBS):
             world.submit(f"j{number}", _step(rng), queue=rng.choice(QUEUES))
+            if failing_share and rng.random() < failing_share:
+                failing.add(f"j{number}")
             for _ in range(rng.randint(1, 12)):
+                _fail_runs(world, failing)
                 world.run(CHECK_INTERVAL_S)
                 watch.look()
             if rng.random() < 0.3:
                 world.cancel(f"j{rng.randint(0, number)}")
         self.assertEqual([], world.violations)
-        self.assertEqual(set(), watch.starved)
+        starved = {
+            key for key in watch.starved if key.partition(".")[0] not in failing
+        }
+        self.assertEqual(set(), starved)
