--- a/tests/core/jobs/test_random_starvation.py
+++ b/tests/core/jobs/test_random_starvation.py
@@ -142,7 +142,7 @@
         room = 0
         for name, worker in self.world.workers.items():
             group = f"{job.job_id}.0.0"
-            if job.queue != "free" and not self.world._is_good(group, name):
+            if job.queue != "free" and not self.world.is_good(group, name):
                 continue
             free = worker.entry.capacity - worker.used()
             fit = max(0, free.cpu_millis // step.needs.cpu_millis)
