--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -202,7 +202,7 @@
     def test_unknown_worker_state_is_rejected(self):
         fields = {
             "service": "s",
-            "address": "a:1",
+            "address": "10.0.0.1:1",
             "zone": "z",
             "state": "asleep",
             "capacity": {"cpu": 1, "memoryRequestMb": 1, "gpus": 0},
