Keep one odd row of the store from hiding the others

One row that can't be read made a whole page malformed, so that a daemon could not list the workers as long as the row was there; a revision of another type went into comparisons and sums.

Cause: `storecalls` decoded by hand, with the errors of a list of types caught around whole pages, and checked neither types nor ranges.

Evidence, on the old code: six tests of tests/platform/test_odd_answers.py fail ("RecursionError: maximum recursion depth exceeded", "Malformed item: Only base64 data is allowed" for a page with another, good item, "decode_item returned Item(key='a', value=b'x', revision=10^400)") and two of tests/daemon/jobs/test_odd_entries.py (the good change after the odd row never arrives).

A row with a key and a revision whose value can't be read is an item with an empty value, which every decoder refuses: a worker with such an entry is not used. Rows that name no item are left out, counted and logged; after such a row among changes the prefix is listed again, because it is unknown which key has changed.

--- a/packages/daemon/mimosaridge_daemon/jobs/following.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/following.py
@@ -99,6 +99,14 @@
         # A job's progress changes several times between two answers.
         for item in {item.key: item for item in page.items}.values():
             self.on_change(item)
+        if page.malformed:
+            # Which key has changed is unknown: the list tells.
+            LOG.error(
+                "malformed changes; listing again",
+                extra={"prefix": self.prefix, "rows": page.malformed},
+            )
+            self.revision = -1
+            return False
         self.advance(page, time.monotonic())
         if page.items:
             gevent.sleep(self.pause_s())
--- a/packages/daemon/mimosaridge_daemon/jobs/storage.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/storage.py
@@ -156,6 +156,11 @@
             page = storecalls.decode_page(body)
         except calls.MalformedError as error:
             return result.Err(str(error))
+        if page.malformed:
+            LOG.error(
+                "malformed items left out",
+                extra={"prefix": prefix, "rows": page.malformed},
+            )
         # Pages are not one snapshot: the revision is that of the first, so
         # that a watch from it repeats all changes since then.
         revision = revision or page.revision
--- a/tests/daemon/jobs/test_odd_entries.py
+++ b/tests/daemon/jobs/test_odd_entries.py
@@ -174,6 +174,25 @@
                 self.assertIsNotNone(readable)
                 self.assertIsNotNone(self._changes_of("w2")[0])
 
+    def test_a_change_without_key_leads_to_a_new_list(self):
+        good = oddvalues.encode(GOOD)
+        keyless = {"revision": 12}
+        self._follow(
+            _list(10, _row("w1", good, 5)),
+            _changes(13, keyless, _row("w2", good, 13)),
+            _list(14, keyless, _row("w2", good, 13)),
+        )
+        self.assertTrue(_wait_for(lambda: len(self._workers_listed()) == 2))
+        self.assertEqual([{"w1"}, {"w2"}], self._workers_listed())
+        self.assertIsNotNone(self._changes_of("w2")[0])
+
+    def test_an_entry_whose_value_is_not_base64_names_no_worker(self):
+        good = oddvalues.encode(GOOD)
+        odd = _row("w1", good, 12) | {"value": "?"}
+        self._follow(_list(10, _row("w1", good, 5)), _changes(12, odd))
+        self.assertTrue(_wait_for(lambda: self._changes_of("w1")))
+        self.assertEqual([None], self._changes_of("w1"))
+
 
 class OwnershipTest(testtools.TestCase):
     def test_ownership_starts_although_an_entry_is_odd(self):
--- a/tests/platform/test_odd_answers.py
+++ b/tests/platform/test_odd_answers.py
@@ -8,6 +8,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_platform import calls
+from mimosaridge_platform import storecalls
 from mimosaridge_platform import wiretypes
 from mimosaridge_platform import workercalls
 
@@ -115,3 +116,99 @@
         outcome, reason = workercalls.decode_result(status, body)
         self.assertIsInstance(outcome, events.CallResult)
         self.assertIsInstance(reason, str)
+
+
+ITEM = {"key": "a", "value": "eA==", "revision": 3}
+LIST = {"items": [ITEM], "hasMore": False, "atRevision": 4}
+CHANGES = {
+    "events": [ITEM, {"key": "b", "revision": 4, "deleted": True}],
+    "atRevision": 4,
+}
+# Numbers of over 4,300 digits make a whole body invalid JSON.
+READABLE = [value for value in oddvalues.NUMBERS if value not in (10**5000,)]
+DECODERS = (
+    (storecalls.decode_item, ITEM),
+    (storecalls.decode_page, LIST),
+    (storecalls.decode_changes, CHANGES),
+    (storecalls.decode_lease, {"lease": 5}),
+)
+
+
+class StoreTest(testtools.TestCase):
+    """Items, pages, changes, leases and results of writes."""
+
+    def test_odd_row_hides_no_other_item(self):
+        odd = (
+            *oddvalues.OTHER_TYPES,
+            {"key": 5, "revision": 3},
+            {"key": "", "revision": 3},
+            {"value": "eA==", "revision": 3},
+            *({"key": "b", "revision": value} for value in READABLE),
+        )
+        for row in odd:
+            for decode, name in (
+                (storecalls.decode_page, "items"),
+                (storecalls.decode_changes, "events"),
+            ):
+                page = decode(
+                    oddvalues.encode({name: [row, ITEM], "atRevision": 4})
+                )
+                self.assertEqual(
+                    (storecalls.Item("a", b"x", 3),), page.items, row
+                )
+                self.assertEqual(1, page.malformed)
+
+    def test_value_that_cannot_be_read_is_an_empty_one(self):
+        for value in ("?", "\u00e9", "eA", 5, 10**400, [], {"a": 1}):
+            row = ITEM | {"value": value}
+            page = storecalls.decode_page(
+                oddvalues.encode(LIST | {"items": [row]})
+            )
+            self.assertEqual((storecalls.Item("a", b"", 3),), page.items)
+
+    def test_revision_out_of_range_is_malformed(self):
+        for value in oddvalues.NUMBERS:
+            for decode, fields in DECODERS[:3]:
+                for name in {"revision", "atRevision"} & fields.keys():
+                    body = oddvalues.encode(fields | {name: value})
+                    self.assertRaises(calls.MalformedError, decode, body)
+            body = oddvalues.encode({"lease": value})
+            self.assertRaises(
+                calls.MalformedError, storecalls.decode_lease, body
+            )
+            answer = storecalls.decode_write_answer(
+                200, oddvalues.encode({"revision": value})
+            )
+            self.assertEqual(storecalls.WriteResult.UNKNOWN, answer.result)
+
+    def test_deep_nesting_is_malformed(self):
+        deep = oddvalues.nested(oddvalues.DEPTH)
+        for decode, fields in DECODERS:
+            for body in (deep, fields | {"new": deep}):
+                self.assertRaises(
+                    calls.MalformedError, decode, oddvalues.encode(body)
+                )
+        for status in (200, 412):
+            answer = storecalls.decode_write_answer(status, oddvalues.DEEP_JSON)
+            self.assertEqual(storecalls.WriteResult.UNKNOWN, answer.result)
+
+    @given(strategies.data())
+    def test_any_bytes_are_decoded_or_malformed(self, data):
+        decode, fields = data.draw(strategies.sampled_from(DECODERS))
+        body = data.draw(strategies.binary() | oddvalues.bodies(fields))
+        try:
+            decode(body)
+        except calls.MalformedError:
+            return
+
+    @given(
+        strategies.sampled_from((200, 404, 412, 429, 503)),
+        strategies.binary()
+        | oddvalues.bodies({"revision": 5})
+        | oddvalues.bodies({"items": [ITEM, {"key": "b", "revision": 0}]}),
+    )
+    def test_any_answer_to_a_write_has_a_result(self, status, body):
+        answer = storecalls.decode_write_answer(status, body)
+        self.assertIn(answer.revision, range(wiretypes.MAX_INTEGER + 1))
+        for item in answer.items:
+            self.assertIn(item.revision, range(wiretypes.MAX_INTEGER + 1))
