Answer odd requests of callers without an error of ours

Tried and refuted: a job id with a line break at its end is not stored under another name; bottle removes the line break.

--- a/packages/daemon/mimosaridge_daemon/jobs/front.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -28,6 +28,14 @@
 # Pause before a write without answer is retried.
 WRITE_RETRY_S = 0.1
 JOB_ID = re.compile(submissions.JOB_ID)
+DEADLINE = re.compile(r"[0-9]{1,9}")
+
+
+def _header(name: str) -> str:
+    """Returns a header; bytes that are no UTF-8 are replaced."""
+    variable = "HTTP_" + name.upper().replace("-", "_")
+    raw = bottle.request.environ.get(variable, "")
+    return raw.encode("latin1").decode(errors="replace")
 
 
 class Front:
@@ -60,11 +68,11 @@
         configuration = self.engine.state.configuration
         if configuration is None or not self.engine.reader.has_job_table:
             return self._refuse("configuration or table of jobs not read yet")
-        host = bottle.request.get_header("Host", "").partition(":")[0]
+        host = _header("Host").partition(":")[0]
         queue = configuration.queue_of(host, path)
         if queue is None:
             return self._empty_response(http.HTTPStatus.NOT_FOUND)
-        secret = bottle.request.get_header(calls.KEY_HEADER, "")
+        secret = _header(calls.KEY_HEADER)
         team = configuration.team_of_secret.get(secret, "")
         if not team and not queue.public:
             return self._empty_response(http.HTTPStatus.UNAUTHORIZED)
@@ -98,8 +106,10 @@
 
     def _deadline(self) -> float:
         """Returns the time by which to respond, monotonic seconds."""
-        text = bottle.request.get_header(calls.DEADLINE_HEADER, "")
-        wait_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+        text = _header(calls.DEADLINE_HEADER)
+        wait_ms = DEFAULT_DEADLINE_MS
+        if DEADLINE.fullmatch(text):
+            wait_ms = int(text)
         return time.monotonic() + wait_ms / 1000 - ANSWER_MARGIN_S
 
     def _pending(self, queue: model.Queue) -> bytes:
