Let no unexpected exception end a loop or leave a call unanswered

Any exception that nobody expected ended the greenlet it came from: the followers, the event loop, ticks, heartbeats, the registration, the checks of ownership and of agents, links to peers. A call to a worker, a write or a call for advice that failed so posted no answer, and its hold, run or write stayed open for good.

Cause: greenlets were started without any handling of exceptions.

A call whose handling fails posts the cautious result: UNKNOWN, not written, not answered. A caller's request that fails so gets 504, after which it is asked again, instead of 500. A change, an item or a message whose handling fails hides no other one.

Not covered: an exception in the reducer still drops the effects of its event.

--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -17,6 +17,7 @@
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import reducer
 from mimosaridge_core.jobs import state
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import agentcalls
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import following
@@ -152,15 +153,15 @@
 
     def start(self) -> None:
         """Starts the event loop and the greenlets that feed it."""
-        gevent.spawn(self._run)
-        gevent.spawn(self._tick)
-        gevent.spawn(self._send_heartbeats)
-        gevent.spawn(self._register)
-        gevent.spawn(self.ownership.run)
-        gevent.spawn(self.router.run)
+        guarding.spawn("events", self._run)
+        guarding.spawn("ticks", self._tick)
+        guarding.spawn("heartbeats", self._send_heartbeats)
+        guarding.spawn("registration", self._register)
+        guarding.spawn("ownership", self.ownership.run)
+        guarding.spawn("router", self.router.run)
         self.peering.links.start()
         for follower in self._followers():
-            gevent.spawn(follower.run)
+            guarding.spawn(f"follower of {follower.prefix}", follower.run)
 
     def _followers(self) -> list[following.Follower]:
         return [
@@ -254,7 +255,7 @@
             reducer.reduce(self.state, event, produced)
         except Exception:
             # The state already reflects the effects produced before.
-            LOG.exception("{} failed", type(event).__name__)
+            guarding.record("reducer", event=type(event).__name__)
         for effect in produced:
             self._execute(effect)
 
@@ -262,7 +263,11 @@
         try:
             self.effect_handlers[type(effect)](effect)
         except Exception:
-            LOG.exception("{} failed", type(effect).__name__)
+            guarding.record("effect", effect=type(effect).__name__)
+            if isinstance(effect, workerlinks.Order):
+                self.post(
+                    workerlinks.answer_to(effect, events.CallResult.UNKNOWN)
+                )
 
     def _tick(self) -> None:
         choose_agents_at = 0.0
@@ -376,7 +381,9 @@
         gevent.spawn(self._start_owning, token, is_former_gone)
 
     def _start_owning(self, token: int, is_former_gone: bool) -> None:
-        while self.ownership.token == token and not self._read_state(token):
+        while self.ownership.token == token and not guarding.attempt(
+            "start of ownership", self._read_state, token, default=False
+        ):
             gevent.sleep(READ_RETRY_S)
         if self.ownership.token != token:
             return
@@ -416,23 +423,12 @@
         gevent.spawn(self._make_advice_call, effect)
 
     def _make_advice_call(self, effect: effects.AskAdvice) -> None:
-        request = advicecalls.advise(effect.group, effect.workers)
-        started_at = time.monotonic()
-        answer = self.peering.call_via(
-            effect.asker, peering.ADVICE, request, effect.timeout_s
+        tickets, valid_s, answered = guarding.attempt(
+            "advice", self._call_for_advice, effect, default=({}, 0.0, False)
         )
-        now = time.monotonic()
-        telemetry.CALL_SECONDS.labels("advice").observe(now - started_at)
-        tickets, valid_s, answered = {}, 0.0, False
-        if answer.is_ok() and answer.ok_value[0] == 200:
-            try:
-                tickets, valid_s = advicecalls.decode(answer.ok_value[1])
-                answered = True
-            except calls.MalformedError as error:
-                LOG.error("{}", error)
         self.post(
             events.AdviceAnswered(
-                now,
+                time.monotonic(),
                 effect.asker,
                 effect.group,
                 effect.workers,
@@ -442,6 +438,28 @@
             )
         )
 
+    def _call_for_advice(
+        self, effect: effects.AskAdvice
+    ) -> tuple[dict[str, str], float, bool]:
+        """Returns the tickets, their validity and whether there is an answer.
+
+        The tickets are by worker id, the validity is in seconds.
+        """
+        request = advicecalls.advise(effect.group, effect.workers)
+        started_at = time.monotonic()
+        answer = self.peering.call_via(
+            effect.asker, peering.ADVICE, request, effect.timeout_s
+        )
+        telemetry.CALL_SECONDS.labels("advice").observe(
+            time.monotonic() - started_at
+        )
+        if answer.is_ok() and answer.ok_value[0] == 200:
+            try:
+                return *advicecalls.decode(answer.ok_value[1]), True
+            except calls.MalformedError as error:
+                LOG.error("{}", error)
+        return {}, 0.0, False
+
     def _handle_message(self, sender: str, message: Any) -> None:
         now = time.monotonic()
         if isinstance(message, messages.Beat):
--- a/packages/daemon/mimosaridge_daemon/jobs/following.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/following.py
@@ -6,6 +6,7 @@
 import gevent
 import logbook
 
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import storage
 from mimosaridge_platform import calls
 from mimosaridge_platform import storecalls
@@ -98,7 +99,7 @@
         page = storecalls.decode_changes(body)
         # A job's progress changes several times between two answers.
         for item in {item.key: item for item in page.items}.values():
-            self.on_change(item)
+            guarding.attempt("change", self.on_change, item)
         if page.malformed:
             # Which key has changed is unknown: the list tells.
             LOG.error(
--- a/packages/daemon/mimosaridge_daemon/jobs/front.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -10,6 +10,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_daemon import codec
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import engine as engines
 from mimosaridge_daemon.jobs import messages
@@ -54,7 +55,14 @@
 
     def _serve(self, path: str) -> bytes:
         started_at = time.monotonic()
-        body = self._answer("/" + path)
+        try:
+            body = self._answer("/" + path)
+        except bottle.HTTPResponse:
+            raise
+        except Exception:
+            # The caller asks again: what was asked for may have been done.
+            guarding.record("request", path=path)
+            body = self._empty_response(http.HTTPStatus.GATEWAY_TIMEOUT)
         telemetry.CALL_SECONDS.labels("caller").observe(
             time.monotonic() - started_at
         )
--- a/packages/daemon/mimosaridge_daemon/jobs/main.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/main.py
@@ -9,6 +9,7 @@
 import logbook
 
 from mimosaridge_daemon import collector
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon import serving
 from mimosaridge_daemon.jobs import engine as engines
 from mimosaridge_daemon.jobs import front
@@ -83,8 +84,8 @@
         gevent.signal_handler(number, ended.set)
     reloader = reloading.Reloader(settings, engine.apply_bounds)
     gevent.signal_handler(signal.SIGHUP, reloader.reload, "signal")
-    gevent.spawn(reloader.run)
-    gevent.spawn(handler.run)
+    guarding.spawn("settings", reloader.run)
+    guarding.spawn("log", handler.run)
     engine.start()
     for server in servers:
         server.start()
--- a/packages/daemon/mimosaridge_daemon/jobs/peering.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/peering.py
@@ -14,6 +14,7 @@
 from mimosaridge_core.jobs import agents
 from mimosaridge_daemon import clients
 from mimosaridge_daemon import codec
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon import peers
 from mimosaridge_daemon.jobs import messages
 from mimosaridge_daemon.jobs import storage
@@ -87,7 +88,7 @@
         self.peers: dict[str, Peer] = {}
         self.advice = clients.Client(f"http://{advice}", ADVICE_CONNECTIONS)
         self.links = peers.Peers(
-            name, address, secret, self._receive, self._handle_refused
+            name, address, secret, self._receive_safely, self._handle_refused
         )
         self.pending: dict[int, gevent_event.AsyncResult] = {}
         self.rng = random.Random()
@@ -255,6 +256,9 @@
         self.record_end(name)
         self.on_refused(name)
 
+    def _receive_safely(self, sender: str, message: Any) -> None:
+        guarding.attempt("message", self._receive, sender, message)
+
     def _receive(self, sender: str, message: Any) -> None:
         if isinstance(message, messages.RelayCall):
             gevent.spawn(self._serve_relay, sender, message)
@@ -278,7 +282,15 @@
 
     def _serve_relay(self, sender: str, call: messages.RelayCall) -> None:
         request = calls.Request(call.method, call.path, call.body)
-        answer = self._call(call.target, request, call.timeout_s)
+        failure = clients.Failure("failed in the peer", is_sent=True)
+        answer = guarding.attempt(
+            "relayed call",
+            self._call,
+            call.target,
+            request,
+            call.timeout_s,
+            default=result.Err(failure),
+        )
         if answer.is_ok():
             status, body = answer.ok_value
             reply = messages.RelayAnswer(call.call_id, status, body)
--- a/packages/daemon/mimosaridge_daemon/jobs/reading.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/reading.py
@@ -10,6 +10,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_daemon import codec
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import owning
 from mimosaridge_daemon.jobs import peering
@@ -57,7 +58,9 @@
             if zone:
                 zones.add(zone)
             elif item.key == storecalls.CONFIGURATION_KEY:
-                self._apply_configuration(item)
+                guarding.attempt(
+                    "configuration", self._apply_configuration, item
+                )
         self._set_zones_out(frozenset(zones))
 
     def apply_operator_change(self, item: storecalls.Item) -> None:
@@ -110,6 +113,9 @@
                 effects.Decision("worker-unreadable", "", "", fields)
             )
             return None
+        except Exception:
+            guarding.record("entry of a worker", key=item.key)
+            return None
 
     def load_state(self, page: storecalls.Page) -> None:
         """Loads the daemons' whole state."""
@@ -132,6 +138,8 @@
                     self._apply_other_change(item, kind)
             except codec.MalformedError as error:
                 LOG.error("{}", error, extra={"key": item.key})
+            except Exception:
+                guarding.record("item of the state", key=item.key)
         self.ownership.update_view(owner)
         self.post(
             events.JobsListed(
--- a/packages/daemon/mimosaridge_daemon/jobs/recording.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/recording.py
@@ -9,6 +9,7 @@
 
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import storage
 from mimosaridge_platform import storecalls
@@ -43,7 +44,18 @@
         self.fleet_revision = max(self.fleet_revision, revision)
 
     def write(self, token: int, effect: effects.WriteProgress) -> None:
-        """Starts a write whose contents are encoded before this returns."""
+        """Starts a write whose contents are encoded before this returns.
+
+        After an exception the write is reported as failed, so that it is
+        repeated.
+        """
+        try:
+            self._start(token, effect)
+        except Exception:
+            guarding.record("write", batch=effect.batch)
+            self._report_failure(effect.batch)
+
+    def _start(self, token: int, effect: effects.WriteProgress) -> None:
         expected = {documents.OWNER: token}
         writes = {}
         copies = {}
@@ -65,9 +77,24 @@
             expected[documents.FLEET] = self.fleet_revision
             writes[documents.FLEET] = documents.encode(effect.fleet)
         gevent.spawn(
-            self._write, effect.batch, expected, writes, removed, copies
+            self._write_or_report,
+            effect.batch,
+            expected,
+            writes,
+            removed,
+            copies,
         )
 
+    def _write_or_report(self, batch: int, *args: Any) -> None:
+        try:
+            self._write(batch, *args)
+        except Exception:
+            guarding.record("write", batch=batch)
+            self._report_failure(batch)
+
+    def _report_failure(self, batch: int) -> None:
+        self.post(events.ProgressWritten(time.monotonic(), batch, {}, False))
+
     def _write(
         self,
         batch: int,
@@ -101,7 +128,7 @@
             if written.result == storecalls.WriteResult.CONFLICT:
                 self._resolve_conflict(batch, expected, writes, written, copies)
                 return
-        self.post(events.ProgressWritten(time.monotonic(), batch, {}, False))
+        self._report_failure(batch)
 
     def _resolve_conflict(
         self,
--- a/packages/daemon/mimosaridge_daemon/jobs/routing.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/routing.py
@@ -17,6 +17,7 @@
 from mimosaridge_core.jobs import agents
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import messages
 from mimosaridge_daemon.jobs import telemetry
 from mimosaridge_daemon.jobs import workerlinks
@@ -138,7 +139,13 @@
                 self.pending[number] = PendingOrder(
                     order, agent, now, now + timeout_s
                 )
-            self.send(agent, messages.WorkerOrders.of(orders))
+            # Orders that aren't sent are given directly when they are due.
+            guarding.attempt(
+                "orders to an agent",
+                self.send,
+                agent,
+                messages.WorkerOrders.of(orders),
+            )
 
     def handle_answers(
         self, agent: str, answers: messages.WorkerAnswers
--- a/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
@@ -12,6 +12,7 @@
 import prometheus_client
 
 from mimosaridge_core.jobs import effects
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon import logs
 
 DECISION_LOG = logbook.Logger("decision")
@@ -22,6 +23,7 @@
 WRITE_INTERVAL_S = 0.1
 
 REGISTRY = prometheus_client.CollectorRegistry()
+REGISTRY.register(guarding.ERRORS)
 DECISION_COUNT = prometheus_client.Counter(
     "mimosaridge_decisions", "Decisions by rule", ["rule"], registry=REGISTRY
 )
@@ -50,6 +52,7 @@
     "mimosaridge_decisions": ("rule",),
     "mimosaridge_answers": ("call", "status"),
     "mimosaridge_call_seconds": ("target",),
+    "mimosaridge_unexpected_errors": ("task",),
 }
 
 
--- a/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
@@ -10,6 +10,7 @@
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_daemon import clients
+from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import telemetry
 from mimosaridge_platform import calls
 from mimosaridge_platform import workercalls
@@ -93,7 +94,20 @@
         self.post(answer)
 
     def call(self, order: Order) -> Answer:
-        """Calls a worker and returns its answer, or the failure."""
+        """Calls a worker and returns its answer, or the failure.
+
+        After an exception the order counts as one without answer, which may
+        have been carried out.
+        """
+        try:
+            return self._call(order)
+        except Exception:
+            guarding.record("call to a worker", worker=order.worker_id)
+            return answer_to(
+                order, events.CallResult.UNKNOWN, "failed in this daemon"
+            )
+
+    def _call(self, order: Order) -> Answer:
         if isinstance(order, effects.Hold):
             return self._hold(order)
         if isinstance(order, effects.Start):
--- a/packages/daemon/mimosaridge_daemon/peers.py
+++ b/packages/daemon/mimosaridge_daemon/peers.py
@@ -19,6 +19,7 @@
 from websockets.sync import server
 
 from mimosaridge_daemon import codec
+from mimosaridge_daemon import guarding
 
 LOG = logbook.Logger("peers")
 # Sent bytes that a peer does not acknowledge for this time break the
@@ -63,6 +64,9 @@
                 gevent.sleep(RECONNECT_DELAY_S)
             except (OSError, exceptions.WebSocketException, TimeoutError):
                 gevent.sleep(RECONNECT_DELAY_S)
+            except Exception:
+                guarding.record("link to a peer", url=self.url)
+                gevent.sleep(RECONNECT_DELAY_S)
 
     def _send_queued(self) -> None:
         with self.connect() as link:
@@ -134,7 +138,7 @@
 
     def start(self) -> None:
         """Starts to accept connections."""
-        gevent.spawn(self.server.serve_forever)
+        guarding.spawn("peer server", self.server.serve_forever)
 
     def send(self, name: str, url: str, message: Any) -> None:
         """Sends a message to the peer at a URL, or to this daemon itself."""
