Refuse odd numbers in messages of peers and in stored items

A message of a peer or a stored item with NaN, infinity or a number of 400 digits reached the arithmetic of the election and of the owner; a job stored under the key of another one would raise KeyError in the reducer at the next list, which drops the event.

Cause: the types of messages and documents are plain dataclasses without ranges, and the sender's name wasn't checked at all.

Evidence, on the old code: test_messages.py: test_number_out_of_range_is_malformed and test_sender_that_is_no_text_is_malformed get a Beat instead of MalformedError; `decode_job` returned Job(... tasks=10^400) and accepted_at=nan in a trial outside of the tests (its signature has changed, so the new tests don't run on the old code).

Fix: numbers are finite and fit into 64 bits in everything that `codec` decodes, by bounds put into the pydantic schemas of the types; a job must have the id of its key.

--- a/packages/daemon/mimosaridge_daemon/codec.py
+++ b/packages/daemon/mimosaridge_daemon/codec.py
@@ -6,12 +6,15 @@
 
 import cbor2
 import pydantic
+import pydantic_core
 
 PLAIN = b"\x00"
 COMPRESSED = b"\x01"
 COMPRESSION_THRESHOLD_BYTES = 512
 COMPRESSION_LEVEL = 1
 MAX_MESSAGE_BYTES = 32_000_000
+# Integers of messages and documents fit into 64 bits.
+MAX_INTEGER = 2**63 - 1
 # Types that peers may send, by name; empty until they are registered.
 MESSAGES: dict[str, type] = {}
 
@@ -31,6 +34,29 @@
     return pydantic.TypeAdapter(kind)
 
 
+def _bounded(schema: Any) -> Any:
+    """Returns a pydantic schema whose numbers are finite and fit into 64 bits.
+
+    Arithmetic on other numbers may raise where nothing expects it.
+    """
+    if isinstance(schema, list):
+        return [_bounded(part) for part in schema]
+    if not isinstance(schema, dict):
+        return schema
+    bounded = {name: _bounded(part) for name, part in schema.items()}
+    if schema.get("type") == "int":
+        return {"ge": -MAX_INTEGER, "le": MAX_INTEGER} | bounded
+    if schema.get("type") == "float":
+        return bounded | {"allow_inf_nan": False}
+    return bounded
+
+
+@functools.cache
+def validator(kind: type) -> pydantic_core.SchemaValidator:
+    """Returns the cached validator of a type, with bounded numbers."""
+    return pydantic_core.SchemaValidator(_bounded(adapter(kind).core_schema))
+
+
 def encode_message(sender: str, message: Any) -> bytes:
     """Encodes a peer message and its sender; compresses large ones."""
     kind = type(message)
@@ -62,7 +88,9 @@
     """
     try:
         name, sender, fields = cbor2.loads(_decompress(data))
-        message = adapter(MESSAGES[name]).validate_python(fields)
+        message = validator(MESSAGES[name]).validate_python(fields)
+        if not isinstance(sender, str):
+            raise ValueError("the sender's name must be text")
     except (
         cbor2.CBORDecodeError,
         pydantic.ValidationError,
--- a/packages/daemon/mimosaridge_daemon/jobs/documents.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/documents.py
@@ -47,16 +47,23 @@
         codec.MalformedError: The bytes are not a valid value of this type.
     """
     try:
-        return codec.adapter(kind).validate_json(value)
+        return codec.validator(kind).validate_json(value)
     except pydantic.ValidationError as error:
         raise codec.MalformedError(
             f"invalid {kind.__name__}: {error}"
         ) from error
 
 
-def decode_job(value: bytes) -> model.Job:
-    """Decodes a job from JSON."""
-    return decode(model.Job, value)
+def decode_job(value: bytes, job_id: str) -> model.Job:
+    """Decodes the job with an id from JSON.
+
+    Raises:
+        codec.MalformedError: The bytes are not a job with this id.
+    """
+    job = decode(model.Job, value)
+    if job.job_id != job_id:
+        raise codec.MalformedError("invalid Job: it has another id")
+    return job
 
 
 def decode_progress(value: bytes) -> model.Progress:
--- a/packages/daemon/mimosaridge_daemon/jobs/front.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -222,7 +222,7 @@
             return False
         try:
             item = storecalls.decode_item(body)
-            job = documents.decode_job(item.value)
+            job = documents.decode_job(item.value, job_id)
         except (calls.MalformedError, codec.MalformedError) as error:
             self.engine.log("unreadable", job=job_id, reason=str(error))
             return None
--- a/packages/daemon/mimosaridge_daemon/jobs/reading.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/reading.py
@@ -125,7 +125,7 @@
             kind, name = _split_key(item.key)
             try:
                 if kind == documents.JOBS:
-                    job = documents.decode_job(item.value)
+                    job = documents.decode_job(item.value, name)
                     jobs[name] = (job, item.revision)
                 elif kind == documents.PROGRESS:
                     job_progress = documents.decode_progress(item.value)
@@ -156,7 +156,7 @@
             if kind == documents.JOBS and item.value is None:
                 self.post(events.JobRemoved(now, name))
             elif kind == documents.JOBS:
-                job = documents.decode_job(item.value)
+                job = documents.decode_job(item.value, name)
                 self.post(events.JobAccepted(now, job, item.revision))
             elif kind == documents.PROGRESS and self.ownership.token:
                 # The owner is ahead of the store.
--- a/tests/daemon/jobs/test_messages.py
+++ b/tests/daemon/jobs/test_messages.py
@@ -38,7 +38,70 @@
     }
 
 
+BEAT = {
+    "name": "d1",
+    "boot": "b",
+    "url": "ws://d1",
+    "has_store": True,
+    "reaches_store": True,
+    "token": 1,
+    "owner_token": 1,
+    "owner_age_s": 0.5,
+}
+
+
+def _decode(*message):
+    return codec.decode_message(codec.PLAIN + cbor2.dumps(message))
+
+
+class OddMessageTest(testtools.TestCase):
+    def test_message_is_decoded(self):
+        sender, message = _decode("Beat", "d1", BEAT)
+        self.assertEqual("d1", sender)
+        self.assertEqual(messages.Beat(**BEAT), message)
+
+    def test_number_out_of_range_is_malformed(self):
+        for value in (10**400, -(10**400), float("nan"), float("inf")):
+            for name in ("token", "owner_age_s"):
+                self.assertRaises(
+                    codec.MalformedError,
+                    _decode,
+                    "Beat",
+                    "d1",
+                    BEAT | {name: value},
+                )
+
+    def test_sender_that_is_no_text_is_malformed(self):
+        for sender in ([1], {}, None, 5, b"d1"):
+            self.assertRaises(
+                codec.MalformedError, _decode, "Beat", sender, BEAT
+            )
+
+    def test_deep_nesting_and_false_lengths_are_malformed(self):
+        start = cbor2.dumps(["Beat", "d1", {}])[:-1]
+        for fields in (
+            b"\x81" * 100_000 + b"\x00",
+            b"\x9b\x7f" + b"\xff" * 7,
+            b"\xbb\x7f" + b"\xff" * 7,
+            b"\x5b\x7f" + b"\xff" * 7,
+        ):
+            for data in (start + fields, fields):
+                self.assertRaises(
+                    codec.MalformedError,
+                    codec.decode_message,
+                    codec.PLAIN + data,
+                )
+
+
 class FuzzTest(testtools.TestCase):
+    @given(strategies.binary())
+    def test_any_bytes_are_a_message_or_malformed(self, data):
+        for encoding in (b"", codec.PLAIN, codec.COMPRESSED):
+            try:
+                codec.decode_message(encoding + data)
+            except codec.MalformedError:
+                continue
+
     @given(strategies.data())
     def test_any_fields_are_a_message_or_malformed(self, data):
         kind = data.draw(strategies.sampled_from(messages.ALL))
