Start a daemon whose settings name no advice service

What callers saw: nothing yet here. Without `recommendation`, which the settings may lack or leave empty, the daemon ended at its start.

Cause: a client was made for an empty address.

Evidence, on the old code: test_daemon_without_an_advice_service_runs fails with "LocationValueError: No host specified."

Fix: without an address there is no client, and calls for advice are unanswered.

Tests run: tests/daemon/jobs/test_guarding.py, test_peering.py: passed.

--- a/packages/daemon/mimosaridge_daemon/jobs/peering.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/peering.py
@@ -86,7 +86,9 @@
         self.on_message = on_message
         self.on_refused = on_refused
         self.peers: dict[str, Peer] = {}
-        self.advice = clients.Client(f"http://{advice}", ADVICE_CONNECTIONS)
+        self.advice: clients.Client | None = None
+        if advice:
+            self.advice = clients.Client(f"http://{advice}", ADVICE_CONNECTIONS)
         self.links = peers.Peers(
             name, address, secret, self._receive_safely, self._handle_refused
         )
@@ -248,6 +250,9 @@
     ) -> storage.Answer:
         if target == STORE:
             return self.store.call_directly(request, timeout_s)
+        if self.advice is None:
+            failure = clients.Failure("no advice service is set", False)
+            return result.Err(failure)
         return self.advice.exchange(
             request.method, request.path, request.body, {}, timeout_s
         )
--- a/tests/daemon/jobs/test_guarding.py
+++ b/tests/daemon/jobs/test_guarding.py
@@ -36,6 +36,9 @@
     "platform.address": "127.0.0.1:1",
     "recommendation": "127.0.0.1:1",
 }
+NO_ADVICE = {
+    name: value for name, value in SETTINGS.items() if name != "recommendation"
+}
 HOLD = effects.Hold("w1", "10.0.0.1:80", 7, 3, 9_000, 1_200, 2)
 START = effects.Start(
     "w1", "10.0.0.1:80", 7, "j.0.0.0", 70_001, "text", "", "", 9_000
@@ -216,6 +219,20 @@
         self.assertEqual(["p/odd", "p/good"], seen)
 
 
+class WithoutAdviceTest(testtools.TestCase):
+    def test_daemon_without_an_advice_service_runs(self):
+        for fields in (SETTINGS | {"recommendation": ""}, NO_ADVICE):
+            settings = dataclasses.replace(
+                daemonsettings.decode(fields), peer_port=0
+            )
+            engine = engines.Engine(settings, "secret")
+            engine.peering.links.server.socket.close()
+            engine._make_advice_call(
+                effects.AskAdvice("front-1", "j.0.0", ("w1",), 1)
+            )
+            self.assertFalse(engine.inbox.get().answered)
+
+
 class AnswerTest(_EngineTest):
     def test_failed_call_to_a_worker_has_no_known_result(self):
         for order in (HOLD, START, STOP):
