Keep one job's graph of steps from holding up or losing its owner

What callers saw: nothing reported; found while looking for inputs that make the reducer fail. A job of 23 small steps, each after all earlier ones, keeps the owner's processor for 22 s and longer with each further step (twice as long); each next owner meets the same job. A job of some 900 steps in a chain makes the reducer raise RecursionError: the job is accepted and never starts, and so does an OwnershipClaimed of the next owner, whose effects are dropped.

Cause: `critical_path_s` walked every path through the graph, recursively.

Fix: the paths of all steps are computed backwards in one pass over the dependencies. No check at the border could do this without refusing jobs that callers may submit.

--- a/packages/core/mimosaridge_core/jobs/work.py
+++ b/packages/core/mimosaridge_core/jobs/work.py
@@ -54,14 +54,18 @@
     return job.first_run_at + repetition * job.interval_s
 
 
-def critical_path_s(job: model.Job, number: int) -> float:
-    """Returns the estimated critical path from a step to the end, seconds."""
-    later = [
-        critical_path_s(job, other)
-        for other in range(number + 1, len(job.steps))
-        if number in job.steps[other].after
-    ]
-    return job.steps[number].estimate_s + max(later, default=0.0)
+def critical_paths_s(job: model.Job) -> list[float]:
+    """Returns the estimated critical path from each step to the end, seconds.
+
+    Its time grows with the number of dependencies: callers choose the graph.
+    """
+    paths = [step.estimate_s for step in job.steps]
+    later = [0.0] * len(paths)
+    for number in range(len(paths) - 1, -1, -1):
+        paths[number] += later[number]
+        for earlier in job.steps[number].after:
+            later[earlier] = max(later[earlier], paths[number])
+    return paths
 
 
 def add_job(
@@ -134,6 +138,7 @@
     if group is None:
         progress = step_progress(entry, repetition, number)
         step = entry.job.steps[number]
+        paths = critical_paths_s(entry.job)
         group = state.Group(
             entry.job.job_id,
             repetition,
@@ -142,11 +147,8 @@
             st.now,
             set(range(step.tasks)) - set(progress.done),
             progress,
-            remaining_work_s=critical_path_s(entry.job, number),
-            job_work_s=max(
-                critical_path_s(entry.job, other)
-                for other in range(len(entry.job.steps))
-            ),
+            remaining_work_s=paths[number],
+            job_work_s=max(paths),
         )
         owner.groups[key] = group
         owner.jobs.setdefault(entry.job.job_id, set()).add(key)
--- a/standins/mimosaridge_fakes/jobloads.py
+++ b/standins/mimosaridge_fakes/jobloads.py
@@ -204,7 +204,7 @@
         )
         job = self.cluster.jobs[job_id][0]
         objective_s = (
-            kind.stretch * work.critical_path_s(job, 0) + kind.target_s
+            kind.stretch * work.critical_paths_s(job)[0] + kind.target_s
         )
         self.open[job_id] = (kind, self.cluster.now, objective_s)
 
