Bound the suspension of a worker after very many failures

What callers saw: nothing reported; found while looking for inputs that make the reducer fail. After 1,026 failures without a success on a worker, for example of tasks that last, each further failed run raised OverflowError in the reducer, which dropped the effects of that worker's answer.

Cause: the suspension doubles as a float before it is limited.

Fix: at most 16 doublings, far beyond the longest suspension.

--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -8,6 +8,9 @@
 from mimosaridge_core.jobs import tunables
 from mimosaridge_core.jobs import work
 
+# Doublings beyond the longest suspension; many more overflow a float.
+MAX_DOUBLINGS = 16
+
 
 def add(owner: state.Owner, worker: state.Worker, run: state.Run) -> None:
     """Counts a run against its worker's capacity and its team's usage."""
@@ -288,7 +291,8 @@
     excess = worker.failures - tunables.FAILURES_BEFORE_BACKOFF
     if excess < 0 or not _may_suspend(st, owner, worker):
         return
-    suspension_s = tunables.UNHEALTHY_BACKOFF_S * 2**excess
+    doublings = min(excess, MAX_DOUBLINGS)
+    suspension_s = tunables.UNHEALTHY_BACKOFF_S * 2**doublings
     worker.backoff_until = st.now + min(suspension_s, tunables.MAX_BACKOFF_S)
 
 
