Let an owner give up that hears neither the store nor most of its peers

Also a way to QUOTA: two owners count apart.

Cause: an owner went on without the store, which is right in an outage for all. In a partition the side with the store chooses another owner, which starts the tasks on workers that it can't reach again once their last lease must be over (displaced for 2 s, then 4.3 s). The old owner on the other side, with those workers, renewed their leases until the cut healed: both acted.

The new tests fail without it (no such function; without the check in the event loop the owner keeps its token).

An owner gives up after 2.2 s if no call to the store was served, directly or by a peer, and fewer peers are heard than have fallen silent without a refused connection. That is before its successor can start the tasks of its workers. It claims again when the store answers. Weighed: giving up whenever the store is silent (each outage would end all leases); whenever any peer is silent (an outage beside one dead machine would). Open: a partition in which the old owner hears half of its peers or more and the store is on the other side.

--- a/packages/core/mimosaridge_core/jobs/election.py
+++ b/packages/core/mimosaridge_core/jobs/election.py
@@ -22,6 +22,10 @@
 # Additional delay before a claim while a daemon on a preferred machine is in
 # contact: a claim takes 10 ms and that daemon waits at most `CLAIM_JITTER_S`.
 LESS_PREFERRED_DELAY_S = 0.4
+# An owner without the store and without most of its peers for this time gives
+# up: less than `OWNER_SILENCE_S` and the time for which its successor expects
+# its orders (`tunables.DISPLACED_OWNER_S`) together.
+ISOLATION_S = 2.2
 # An owner yields to a daemon on a preferred machine after this time of
 # ownership: long enough to contact all daemons that start at the same time.
 YIELD_AFTER_S = 2.0
@@ -97,3 +101,21 @@
     if view.storeless_since and now - storeless_since > OWNER_STORELESS_S:
         return True
     return now > silent_at(view)
+
+
+def is_isolated(storeless_s: float, heard: int, silent: int) -> bool:
+    """Returns whether an owner may have been replaced without its knowledge.
+
+    In a partition, the daemons on the side of the store choose a new owner. It
+    starts the tasks on the workers that it can't reach again when their leases
+    have expired, so an owner on the other side must not renew them for good. In
+    an outage of the store for all, an owner still hears its peers and goes on.
+
+    Args:
+        storeless_s: Time since a call to the store was last served, directly or
+            by a peer, seconds.
+        heard: Number of peers with recent heartbeats.
+        silent: Number of peers that have fallen silent without a sign that
+            their process has ended.
+    """
+    return storeless_s > ISOLATION_S and heard < silent
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -244,11 +244,25 @@
             self._handle(self.inbox.get())
             while not self.inbox.empty():
                 self._handle(self.inbox.get())
-            if self.ownership.token:
+            if self.ownership.token and self._is_isolated():
+                self.ownership.give_up(
+                    "neither the store nor most peers answer"
+                )
+            elif self.ownership.token:
                 self._handle(events.Tick(time.monotonic(), time.time()))
                 self.router.flush()
                 gevent.sleep(DECISION_PAUSE_S)
 
+    def _is_isolated(self) -> bool:
+        storeless_s = self.store.storeless_s()
+        if storeless_s < election.ISOLATION_S:
+            return False
+        return election.is_isolated(
+            storeless_s,
+            len(self.peering.live_daemons()) - 1,
+            len(self.peering.silent_daemons()),
+        )
+
     def _handle(self, event: Any) -> None:
         produced: list = []
         try:
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -126,6 +126,11 @@
         self.resign(token, reason)
         self._record_end()
 
+    def give_up(self, reason: str) -> None:
+        """Resigns; this daemon or another claims as soon as it can."""
+        self.resign(self.token, reason)
+        self._record_end()
+
     def _record_end(self) -> None:
         """Records that the owner's process has ended or leaves."""
         self.view.is_gone = True
--- a/packages/daemon/mimosaridge_daemon/jobs/peering.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/peering.py
@@ -166,6 +166,15 @@
         }
         return frozenset(names | {self.name})
 
+    def silent_daemons(self) -> frozenset[str]:
+        """Returns the daemons that have fallen silent without a known end."""
+        until = time.monotonic() - HEARTBEAT_TIMEOUT_S
+        return frozenset(
+            name
+            for name, peer in self.peers.items()
+            if 0.0 < peer.last_heartbeat_at <= until
+        )
+
     def agent_candidates(self) -> list[agents.Candidate]:
         """Returns the peers that can call workers for this daemon."""
         since = time.monotonic() - AGENT_HEARTBEAT_TIMEOUT_S
--- a/packages/daemon/mimosaridge_daemon/jobs/storage.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/storage.py
@@ -117,9 +117,13 @@
             return True
         return _is_served(self.call(PROBE))
 
+    def storeless_s(self) -> float:
+        """Returns the time since a call was last served, seconds."""
+        return time.monotonic() - self.last_answer_at
+
     def reaches_store(self, within_s: float) -> bool:
         """Returns whether a call was served within a time, seconds."""
-        return time.monotonic() - self.last_answer_at < within_s
+        return self.storeless_s() < within_s
 
 
 def _is_served(answer: Answer) -> bool:
--- a/tests/daemon/jobs/test_guarding.py
+++ b/tests/daemon/jobs/test_guarding.py
@@ -97,6 +97,9 @@
         gevent.sleep(0.01)
         return NO_ANSWER
 
+    def storeless_s(self):
+        return 60.0
+
     def reaches_store(self, within_s):
         return False
 
@@ -233,6 +236,21 @@
             self.assertFalse(engine.inbox.get().answered)
 
 
+class IsolationTest(_EngineTest):
+    def test_an_owner_cut_off_with_its_workers_gives_up(self):
+        now = time.monotonic()
+        for name, silent_s in (("d1", 0.1), ("d2", 9.0), ("d3", 9.0)):
+            self.engine.peering.add(name, f"ws://{name}")
+            self.engine.peering.peers[name].last_heartbeat_at = now - silent_s
+        self.engine.ownership.token = 7
+        self.engine.ownership.view.revision = 7
+        self.engine.post(events.Tick(now, now))
+        loop = gevent.spawn(self.engine._run)
+        self.addCleanup(loop.kill)
+        self.assertTrue(_wait_for(lambda: not self.engine.ownership.token, 2.0))
+        self.assertTrue(self.engine.ownership.view.is_gone)
+
+
 class AnswerTest(_EngineTest):
     def test_failed_call_to_a_worker_has_no_known_result(self):
         for order in (HOLD, START, STOP):
--- a/tests/daemon/jobs/test_owning.py
+++ b/tests/daemon/jobs/test_owning.py
@@ -6,6 +6,7 @@
 import testtools
 
 from mimosaridge_core.jobs import election
+from mimosaridge_core.jobs import tunables
 from mimosaridge_daemon import clients
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import messages
@@ -256,3 +257,35 @@
         self.assertTrue(
             election.should_claim(view, "a", "boot-a", silent_at + 0.01)
         )
+
+
+class IsolationTest(testtools.TestCase):
+    """An owner on the side of a partition that has no store."""
+
+    def test_an_owner_without_store_and_most_peers_is_isolated(self):
+        late_s = election.ISOLATION_S + 0.1
+        self.assertTrue(election.is_isolated(late_s, heard=2, silent=4))
+        self.assertFalse(election.is_isolated(2.0, heard=2, silent=4))
+
+    def test_an_owner_that_hears_its_peers_goes_on_without_the_store(self):
+        self.assertFalse(election.is_isolated(60.0, heard=6, silent=0))
+        self.assertFalse(election.is_isolated(60.0, heard=5, silent=1))
+        self.assertFalse(election.is_isolated(60.0, heard=0, silent=0))
+
+    def test_an_isolated_owner_stops_before_its_successor_starts_its_tasks(
+        self,
+    ):
+        self.assertLess(
+            election.ISOLATION_S + owning.MAX_CHECK_INTERVAL_S,
+            election.OWNER_SILENCE_S + tunables.DISPLACED_OWNER_S,
+        )
+
+    def test_an_owner_that_gave_up_claims_again(self):
+        ownership, _, lost = _owning()
+        ownership.update_view(_item("a", "boot-a", 9))
+        ownership.token = 9
+        self.assertFalse(ownership._should_claim())
+        ownership.give_up("isolated")
+        self.assertEqual([9], lost)
+        self.assertEqual(0, ownership.token)
+        self.assertTrue(ownership._should_claim())
--- a/tests/daemon/jobs/test_peering.py
+++ b/tests/daemon/jobs/test_peering.py
@@ -51,6 +51,17 @@
         expected = {"d34", "d35", "d01", "d02"}
         self.assertEqual(expected, peer_links.neighbours())
 
+    def test_a_peer_that_ended_is_not_silent(self):
+        peer_links = self._peering(4)
+        peer_links.on_refused = lambda name: None
+        now = time.monotonic()
+        late_at = now - peering.HEARTBEAT_TIMEOUT_S - 1.0
+        for name, at in (("d00", now), ("d01", late_at), ("d02", late_at)):
+            peer_links.peers[name].last_heartbeat_at = at
+        self.assertEqual({"d01", "d02"}, peer_links.silent_daemons())
+        peer_links._handle_refused("d02")
+        self.assertEqual({"d01"}, peer_links.silent_daemons())
+
     def test_a_peer_that_refuses_connections_is_not_live(self):
         peer_links = self._peering(3)
         ended = []
