Count starts of an owner displaced before the last one

What callers would see: tasks that run twice, a team above its upper limit.

Cause: a new owner assumes that former owners send no more orders if the process of the last one has ended. If that one had ended soon after its own claim, the owner that it had displaced may still be at work: it has up to 2 s to notice. What it starts on workers that the new owner hasn't reached counted for nobody, and jobs accepted after the claim were not delayed.

Why it works: a claim now says when the daemon first saw the claim of the former owner, which was made then or before. The owner displaced by that claim may be at work for 2 s from then, also if the former owner is gone. An owner that had owned for longer is replaced as fast as before.

Tests run: tests/core/jobs, tests/daemon/jobs/test_owning.py and test_engine.py, passed.

--- a/packages/core/mimosaridge_core/jobs/election.py
+++ b/packages/core/mimosaridge_core/jobs/election.py
@@ -50,6 +50,8 @@
         storeless_since: Since when the owner reports that it can't reach the
             store; 0 if it can.
         is_gone: Whether the owner's process has certainly ended or is leaving.
+        claimed_at: When this daemon first saw the owner's claim, which was made
+            then or before; 0 if there is none.
     """
 
     is_known: bool = False
@@ -60,6 +62,7 @@
     last_peer_contact_at: float = 0.0
     storeless_since: float = 0.0
     is_gone: bool = False
+    claimed_at: float = 0.0
 
 
 def is_preferred_owner(cores: float, own_cores: float) -> bool:
--- a/packages/core/mimosaridge_core/jobs/events.py
+++ b/packages/core/mimosaridge_core/jobs/events.py
@@ -116,12 +116,15 @@
         token: Fencing token; higher than that of any former owner.
         fleet: Workers that former owners may have used.
         is_former_gone: Whether the former owner's process has certainly ended.
+        former_claimed_at: Latest steady time at which the former owner had
+            claimed ownership, seconds; 0 if there was none.
     """
 
     now: float
     token: int
     fleet: model.Fleet
     is_former_gone: bool = False
+    former_claimed_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/jobs/ownership.py
+++ b/packages/core/mimosaridge_core/jobs/ownership.py
@@ -17,9 +17,12 @@
     """Starts to hold all workers and to place all unfinished jobs."""
     owner = state.Owner(event.token, st.now)
     st.owner = owner
-    owner.displaced_until = st.now
-    if not event.is_former_gone:
-        owner.displaced_until += tunables.DISPLACED_OWNER_S
+    # The owner that the former one displaced may be at work although that one
+    # is gone.
+    displaced_at = event.former_claimed_at if event.is_former_gone else st.now
+    owner.displaced_until = max(
+        st.now, displaced_at + tunables.DISPLACED_OWNER_S
+    )
     unheld_until = fleets.unheld_until(st, owner)
     owner.unheld = dict.fromkeys(event.fleet.workers, unheld_until)
     owner.unheld_jobs = dict(event.fleet.closed)
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -281,7 +281,7 @@
     Attributes:
         token: Its fencing token.
         since: When it became the owner.
-        displaced_until: Until when the former owner may still send orders.
+        displaced_until: Until when former owners may still send orders.
         workers: Workers by id.
         unheld: Workers of former owners that this owner has not yet held, with
             the time until which they may run tasks.
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -407,6 +407,7 @@
                 token,
                 self.reader.fleet,
                 is_former_gone,
+                self.ownership.former_claimed_at,
             )
         )
 
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -44,6 +44,8 @@
     Attributes:
         view: Knowledge about the owner.
         token: This daemon's fencing token; 0 if it is not the owner.
+        former_claimed_at: Latest time at which the owner before the last claim
+            had claimed, monotonic seconds; 0 if there was none.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.claim_count = 0
         self.leaving = False
         self.is_former_gone = False
+        self.former_claimed_at = 0.0
         self.is_claim_due = gevent_event.Event()
         self.rng = random.Random()
 
@@ -94,6 +97,7 @@
             owner=claim.name,
             boot=claim.boot,
             last_contact_at=time.monotonic(),
+            claimed_at=time.monotonic(),
         )
         self._check_token(item.revision)
 
@@ -218,6 +222,7 @@
         view = self.view
         restarted = view.owner == self.name and view.boot != self.boot
         self.is_former_gone = view.is_gone or restarted
+        self.former_claimed_at = view.claimed_at
         value = documents.encode(Claim(self.name, self.boot, self.claim_count))
         expected = {documents.OWNER: self.view.revision}
         request = storecalls.write(expected, {documents.OWNER: value})
@@ -261,6 +266,7 @@
             owner=self.name,
             boot=self.boot,
             last_contact_at=time.monotonic(),
+            claimed_at=time.monotonic(),
         )
         self.token = revision
         self.on_claimed(revision, self.is_former_gone)
--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -92,6 +92,7 @@
         self.revision = 10
         self.owner_revision = 0
         self.owner_number: int | None = None
+        self.claimed_at = 0.0
         self.jobs: dict[str, tuple[model.Job, int]] = {}
         self.known_jobs: dict[str, model.Job] = {}
         self.team_of_job: dict[str, str] = {}
@@ -264,8 +265,14 @@
         for number in range(len(self.daemons)):
             self.deliver(number, events.JobCancelled(self.now, job_id))
 
-    def claim(self, number: int) -> None:
-        """Makes a daemon the owner without notifying the former owner."""
+    def claim(self, number: int, is_former_gone: bool = False) -> None:
+        """Makes a daemon the owner without notifying the former owner.
+
+        Args:
+            number: The daemon.
+            is_former_gone: Whether the process of the former owner has ended.
+        """
+        former_claimed_at, self.claimed_at = self.claimed_at, self.now
         self.checks.note_disruption()
         self.revision += 1
         self.owner_revision = self.revision
@@ -287,7 +294,13 @@
         self.deliver(number, listed)
         self.deliver(
             number,
-            events.OwnershipClaimed(self.now, self.owner_revision, self.fleet),
+            events.OwnershipClaimed(
+                self.now,
+                self.owner_revision,
+                self.fleet,
+                is_former_gone,
+                former_claimed_at,
+            ),
         )
 
     def deliver(self, number: int, event: object) -> None:
--- a/tests/daemon/jobs/test_owning.py
+++ b/tests/daemon/jobs/test_owning.py
@@ -125,6 +125,15 @@
         self.assertEqual([(9, True)], claimed)
         self.assertIn(b'"revision":5', ownership.store.requests[0].body)
 
+    def test_a_claim_tells_when_the_former_owner_had_claimed(self):
+        ownership, _, _ = _owning(result.Ok((200, b'{"revision":9}')))
+        before = time.monotonic()
+        ownership.update_view(_item("b", "boot-b", 5))
+        after = time.monotonic()
+        ownership.handle_refused("b")
+        ownership._claim()
+        self.assertTrue(before <= ownership.former_claimed_at <= after)
+
     def test_claim_without_answer_that_won_is_detected(self):
         own = _item("a", "boot-a", 12)
         ownership, claimed, _ = _owning(
