Let steps pass over reservations only after a time of low use

What callers would see: an urgent gang that never starts while less urgent jobs keep arriving, and a fleet that is half idle meanwhile.

Cause: a step that had waited for 2 s ignored reservations as soon as under 60% of its back end was in use. Workers that drain for a gang are unused just before it starts, so on a fleet that is full the steps that had waited longest took the room each time, and the gang's workers never were free together.

The new test fails with '4 != 0: (1.9, 10)'.

Why it works: what users are owed is that a job doesn't wait for 3 s beside a fleet of which less than half is in use all the while. So use must have been low for the same 2 s.

Not mended: a gang of all workers beside one job/s of 6 s does not start in 37 s (before neither): its workers need longer to drain than other jobs may wait.

Tests run: tests/core/jobs, passed.

--- a/packages/core/mimosaridge_core/jobs/starvation.py
+++ b/packages/core/mimosaridge_core/jobs/starvation.py
@@ -9,15 +9,18 @@
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import work
 
-# A step with nothing running ignores reservations after this time, which leaves
-# time for a call for advice and a start within the promised 3 s. Workers with
-# shorter tasks drain in this time, so that a large task gets its turn.
+# A step with nothing running ignores reservations after this time of low use,
+# which leaves time for a call for advice and a start within the promised 3 s.
+# Workers with shorter tasks drain in this time, so that a large task gets its
+# turn.
 PATIENCE_S = 2.0
 # Reservations hold regardless of the time above this share of capacity in use.
 # Exceeds the promised half, because users count runs at other moments.
 LOW_USE_SHARE = 0.6
 # Interval at which the use of a back end is computed again.
 USE_INTERVAL_S = 0.25
+# After a longer interval without a computation, use may have been high between.
+MAX_USE_GAP_S = 1.0
 
 
 def update_blocked_since(st: state.State, group: state.Group) -> None:
@@ -37,6 +40,9 @@
 ) -> bool:
     """Returns whether a step has waited too long beside unused capacity.
 
+    Workers that drain for a large task are unused just before it starts, so
+    use must have been low for as long as the step must have waited.
+
     Args:
         st: The state.
         owner: The owner.
@@ -44,28 +50,19 @@
         backend: Name of its back end.
         pool: Workers of the back end that can take starts, by id.
     """
-    if not group.blocked_since:
-        return False
-    if st.now - group.blocked_since < PATIENCE_S:
-        return False
     if group.runs and not group.step.standing:
         return False
     use = owner.backend_use.get(backend)
     if use is None or st.now - use.at >= USE_INTERVAL_S:
-        use = owner.backend_use[backend] = _backend_use(st, pool)
+        use = owner.backend_use[backend] = _backend_use(st, pool, use)
+    if not group.blocked_since:
+        return False
+    if st.now - group.blocked_since < PATIENCE_S:
+        return False
     needs = work.reserved_resources(group.step)
-    return all(
-        used < LOW_USE_SHARE * capacity
-        for needed, used, capacity in (
-            (needs.cpu_millis, use.used.cpu_millis, use.capacity.cpu_millis),
-            (needs.memory_mib, use.used.memory_mib, use.capacity.memory_mib),
-            (
-                needs.accelerators,
-                use.used.accelerators,
-                use.capacity.accelerators,
-            ),
-        )
-        if needed
+    needed = [name for name in resources.NAMES if getattr(needs, name)]
+    return _low_resources(use).issuperset(needed) and all(
+        st.now - use.low_since[name] >= PATIENCE_S for name in needed
     )
 
 
@@ -78,11 +75,27 @@
 
 
 def _backend_use(
-    st: state.State, pool: dict[str, state.Worker]
+    st: state.State,
+    pool: dict[str, state.Worker],
+    before: state.BackendUse | None,
 ) -> state.BackendUse:
     used = [worker.used for worker in pool.values()]
     capacity = [worker.entry.capacity for worker in pool.values()]
-    return state.BackendUse(st.now, _total(used), _total(capacity))
+    use = state.BackendUse(st.now, _total(used), _total(capacity))
+    is_recent = before is not None and st.now - before.at < MAX_USE_GAP_S
+    low_before = before.low_since if is_recent else {}
+    for name in _low_resources(use):
+        use.low_since[name] = low_before.get(name, st.now)
+    return use
+
+
+def _low_resources(use: state.BackendUse) -> set[str]:
+    """Returns the names of the resources whose use is low."""
+    return {
+        name
+        for name in resources.NAMES
+        if getattr(use.used, name) < LOW_USE_SHARE * getattr(use.capacity, name)
+    }
 
 
 def _total(amounts: list[resources.Resources]) -> resources.Resources:
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -267,11 +267,14 @@
         at: When it was computed.
         used: Resources that runs occupy.
         capacity: Capacity of the workers.
+        low_since: Since when the use of each resource has been low, by name;
+            only of resources whose use is low.
     """
 
     at: float
     used: resources.Resources
     capacity: resources.Resources
+    low_since: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/core/jobs/test_starvation.py
+++ b/tests/core/jobs/test_starvation.py
@@ -180,6 +180,14 @@
         self.assertEqual(4, len(waits))
         self.assertLess(max(waits), 6.0)
 
+    def test_jobs_that_wait_for_a_gang_do_not_starve_it(self):
+        for small_s, per_s in ((1.9, 10), (2.5, 6)):
+            step = model.Step(4, _cores(3), 1.0, gang=True)
+            world = self._play(step, 15.0, small_s=small_s, per_s=per_s)
+            waits = _starts(world, "large").values()
+            self.assertEqual(4, len(waits), (small_s, per_s))
+            self.assertLess(max(waits), 6.0)
+
 
 class AgingTest(testtools.TestCase):
     """Work that waits beside idle reserved workers starts within 3 s."""
