Handle failed runs before the configuration is known

What callers would see: a job that is running for good although its task isn't (LOST).

Cause: the number of attempts is in the configuration. An owner that had none yet, as a daemon that has just started and whose first list of the operators' settings fails, raised when a worker reported a failed run: after the run was taken off and before its task was queued again.

Evidence on the old code: both tests fail with AttributeError: 'NoneType' object has no attribute 'queues'.

Why it works: without a configuration a failure is counted and its task queued. Nothing starts until there is one; then jobs without an attempt left fail first.

Tests run: tests/core/jobs, passed.

--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -259,6 +259,32 @@
         return
     failed_runs.append(row.run)
     work.mark_dirty(owner, entry.job.job_id, st.now)
+    _fail_without_attempts(st, owner, entry, progress, step, index, out)
+
+
+def check_attempts(st: state.State, owner: state.Owner, out: list) -> None:
+    """Fails the jobs with no attempt left, once a configuration is known."""
+    for group in list(owner.groups.values()):
+        for index in list(group.progress.failed_runs):
+            if group.job_id in owner.jobs and not group.step.standing:
+                entry = st.table[group.job_id]
+                _fail_without_attempts(
+                    st, owner, entry, group.progress, group.step, index, out
+                )
+
+
+def _fail_without_attempts(
+    st: state.State,
+    owner: state.Owner,
+    entry: state.JobEntry,
+    progress: model.StepProgress,
+    step: model.Step,
+    index: int,
+    out: list,
+) -> None:
+    """Fails a job if a task that failed has no attempt left."""
+    if st.configuration is None:
+        return
     queue = st.configuration.queues.get(entry.job.queue)
     max_attempts = queue.max_attempts if queue else 1
     if work.failed_attempts(progress, step, index) >= max_attempts:
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -25,6 +25,8 @@
     st.configuration = new
     if st.owner is not None:
         unheldusage.invalidate(st.owner)
+        if old is None:
+            runs.check_attempts(st, st.owner, out)
     effects.log_decision(
         out,
         "configuration",
