Let simulated workers answer an older token at once

A simulated worker delayed its refusal of a hold with an older token for as long as the call allowed it to wait for an end. Real workers do nothing for an older token, so they have nothing to wait for.

Evidence on the old code: test_a_hold_with_an_older_token_is_answered_at_once fails, the former owner is still one after two ticks.

--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -480,7 +480,9 @@
                 self.schedule(CALL_TIMEOUT_S, time_out)
 
         delay = CALL_DELAY_S
-        if isinstance(order, effects.Hold) and order.wait_ms:
+        is_long_poll = isinstance(order, effects.Hold) and order.wait_ms
+        # A worker answers a call with an older token at once.
+        if is_long_poll and order.token >= worker.token:
             # The lease starts when the call arrives; the lists of runs are
             # those at the end of the wait.
             self.schedule(
--- a/tests/standins/test_jobchecks.py
+++ b/tests/standins/test_jobchecks.py
@@ -222,6 +222,14 @@
         owner = world.daemons[1].owner
         self.assertTrue(all(w.held for w in owner.workers.values()))
 
+    def test_a_hold_with_an_older_token_is_answered_at_once(self):
+        world = self._owned()
+        world.workers["w0"].token = world.owner_revision + 1
+        hold = effects.Hold("w0", "", world.owner_revision, 0, 0, 1200, 0)
+        world.execute(0, hold)
+        world.run(2 * jobclusters.TICK_S)
+        self.assertIsNone(world.daemons[0].owner)
+
     def test_events_wait_for_a_frozen_daemon(self):
         world = self._owned()
         world.frozen.add(0)
