Remember the back ends that a queue had in earlier configurations

What callers would see: a task that runs twice after a change of owner (TWICE).

Cause: a new owner delays jobs that may run on a worker which it doesn't hold yet, by the back end on the job's acceptance and the present one of its queue. A queue that was moved and moved back had runs on workers of the back end in between.

Evidence: test_a_new_owner_waits_for_workers_of_an_earlier_back_end, before: "TWICE j1.0.0.0 run on w0: ['w0', 'x0']". Each daemon follows the configuration and now keeps the former back ends of queues that were moved; one that started after both moves doesn't know of them (open).

--- a/packages/core/mimosaridge_core/jobs/fleets.py
+++ b/packages/core/mimosaridge_core/jobs/fleets.py
@@ -52,14 +52,14 @@
 def backends_of(st: state.State, entry: state.JobEntry) -> frozenset[str]:
     """Returns the back ends whose workers may run tasks of a job.
 
-    Besides the queue's current back end, that is the one on the job's
-    acceptance.
+    That is the one on the job's acceptance and those that its queue has had
+    since this daemon started.
     """
-    queue = None
-    if st.configuration is not None:
-        queue = st.configuration.queues.get(entry.job.queue)
+    name = entry.job.queue
+    queue = st.configuration.queues.get(name) if st.configuration else None
     current = queue.backend if queue is not None else entry.job.backend
-    return frozenset((entry.job.backend, current))
+    former = st.former_backends.get(name, frozenset())
+    return former | {entry.job.backend, current}
 
 
 def may_run_on_unheld(
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -383,6 +383,8 @@
         now: Steady time of the latest event, seconds.
         wall: Wall-clock time of the latest tick, seconds.
         configuration: The configuration in force; None before the first.
+        former_backends: Back ends that queues had in earlier configurations,
+            by queue.
         zones_out: Availability zones taken out of service.
         table: Jobs by id.
         entries: Entries of the list of workers, by worker id.
@@ -394,6 +396,9 @@
     now: float = 0.0
     wall: float = 0.0
     configuration: model.Configuration | None = None
+    former_backends: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
     zones_out: frozenset[str] = frozenset()
     table: dict[str, JobEntry] = dataclasses.field(default_factory=dict)
     entries: dict[str, model.WorkerEntry] = dataclasses.field(
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -23,6 +23,8 @@
     if old is not None and new.version <= old.version:
         return
     st.configuration = new
+    if old is not None:
+        _record_former_backends(st, old)
     if st.owner is not None:
         unheldusage.invalidate(st.owner)
         if old is None:
@@ -35,6 +37,14 @@
     )
 
 
+def _record_former_backends(st: state.State, old: model.Configuration) -> None:
+    for name, queue in old.queues.items():
+        current = st.configuration.queues.get(name)
+        if current is None or current.backend != queue.backend:
+            former = st.former_backends.get(name, frozenset())
+            st.former_backends[name] = former | {queue.backend}
+
+
 @dispatch.handles(events.BoundsChanged)
 def change_bounds(
     st: state.State, event: events.BoundsChanged, out: list
