Preempt no runs for tasks beyond their team's upper limit

What callers would see: less urgent jobs lose work and wait beside room that stays empty.

Cause: preemption made room for all waiting tasks of a step, also for those that the team's upper limit didn't let start. Same class as workers reserved for more tasks than a team may start.

Evidence on the old code: with an upper limit of one core, a step of 4 tasks of one core preempts 4 runs in place of one ('1 != 4').

Why it works: as many tasks as the limit still allows get room.

Tests run: tests/core/jobs, passed.

--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -211,7 +211,7 @@
         st, owner, group, pool, allowed, current.standing
     )
     if not group.step.gang:
-        preemption.make_room(st, owner, group, approved, out)
+        preemption.make_room(st, owner, group, approved, allowed, out)
 
 
 def _place_starved(
--- a/packages/core/mimosaridge_core/jobs/preemption.py
+++ b/packages/core/mimosaridge_core/jobs/preemption.py
@@ -47,6 +47,7 @@
     owner: state.Owner,
     group: state.Group,
     workers: list[state.Worker],
+    allowed: int,
     out: list,
 ) -> None:
     """Preempts less urgent runs if a step's latest start is near.
@@ -56,6 +57,7 @@
         owner: The owner.
         group: The step, of which some tasks could not be placed.
         workers: Workers that may run its tasks.
+        allowed: How many of its waiting tasks may start.
         out: Effects.
     """
     queue = ranking.queue_of(st, st.table[group.job_id].job)
@@ -66,7 +68,7 @@
     ]
     needs = work.reserved_resources(group.step)
     stopped = 0
-    for _ in group.waiting:
+    for _ in range(allowed):
         cheapest = _cheapest(candidates, needs)
         if cheapest is None or stopped + cheapest[0] > MAX_STOPPED_RUNS:
             break
--- a/tests/core/jobs/test_preemption.py
+++ b/tests/core/jobs/test_preemption.py
@@ -53,6 +53,20 @@
         self.assertEqual(model.JobState.COMPLETED, world.state_of("patient"))
         self.assertEqual([], world.violations)
 
+    def test_nothing_is_preempted_for_tasks_beyond_the_upper_limit(self):
+        world = _world()
+        before = world.configurations[-1][1]
+        limited = dataclasses.replace(
+            before.teams["a"], name="b", upper_limit=CORE
+        )
+        teams = {**before.teams, "b": limited}
+        world.configure(dataclasses.replace(before, version=3, teams=teams))
+        self._fill(world, checkpoints=True)
+        world.submit("urgent", model.Step(4, CORE, 1.0), team="b")
+        world.run(3.0)
+        self.assertEqual(1, len(_preemptions(world)))
+        self.assertEqual([], world.violations)
+
     def test_an_urgent_job_does_not_wait_for_advice_on_other_workers(self):
         world = _world()
         self._fill(world, checkpoints=True)
