Split the simulated cluster by job

Faults and the ranges of late calls and late writes are names of jobfaults. Two tests used private methods, which are now WorkerCalls.start_run and Store.write. No check and no assertion is changed.

Leases that count from the arrival of a late call are not in these plays; a test of tests/standins/test_jobchecks.py covers them.

--- /dev/null
+++ b/standins/mimosaridge_fakes/jobcalls.py
@@ -0,0 +1,279 @@
+"""Calls of daemons to the workers of a simulated job cluster."""
+
+from collections.abc import Callable
+import copy
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import work
+from mimosaridge_fakes import jobfaults
+from mimosaridge_fakes import jobworkers
+
+if TYPE_CHECKING:
+    from mimosaridge_fakes import jobclusters
+
+CALL_DELAY_S = 0.003
+# An unanswered call fails after this time.
+CALL_TIMEOUT_S = 0.8
+
+Order = effects.Hold | effects.Start | effects.Stop
+# Executes an order of a daemon, sent at a time, on a worker, or on none if the
+# call times out; returns what delivers the answer.
+Execution = Callable[
+    [int, Order, float, jobworkers.Worker | None], Callable[[], None]
+]
+
+
+class WorkerCalls:
+    """Carries orders to workers, and their answers back to daemons.
+
+    Attributes:
+        cluster: The cluster.
+    """
+
+    def __init__(self, cluster: "jobclusters.Cluster") -> None:
+        self.cluster = cluster
+
+    def send(self, number: int, order: Order) -> None:
+        """Sends an order of a daemon to the worker that it names."""
+        if isinstance(order, effects.Hold):
+            self._call(number, order, self._hold)
+        elif isinstance(order, effects.Start):
+            self._call(number, order, self._start)
+        else:
+            self._call(number, order, self._stop)
+
+    def _call(self, number: int, order: Order, execute: Execution) -> None:
+        """Calls a worker; the call may be late or its answer lost."""
+        cluster = self.cluster
+        sent_at = cluster.now
+        worker = cluster.workers.get(order.worker_id)
+        time_out = execute(number, order, sent_at, None)
+        if worker is None or not worker.answers(number):
+            # The call is never executed.
+            cluster.schedule(CALL_TIMEOUT_S, time_out)
+            return
+        if cluster.draw(cluster.faults.doubled_call_share):
+            self._double(number, order, execute, worker)
+        if cluster.rng.random() < cluster.faults.late_call_share:
+            delay_s = cluster.rng.uniform(*jobfaults.LATE_CALL_DELAY_S)
+            cluster.schedule(
+                delay_s,
+                lambda: (
+                    worker.answers(number)
+                    and execute(
+                        number, self._late(order, delay_s), sent_at, worker
+                    )
+                ),
+            )
+            cluster.schedule(CALL_TIMEOUT_S, time_out)
+            return
+        if cluster.rng.random() < cluster.faults.lost_answer_share:
+            cluster.schedule(
+                CALL_DELAY_S, lambda: execute(number, order, sent_at, worker)
+            )
+            cluster.schedule(CALL_TIMEOUT_S, time_out)
+            return
+
+        def answer() -> None:
+            if worker.answers(number):
+                execute(number, order, sent_at, worker)()
+            else:
+                cluster.schedule(CALL_TIMEOUT_S, time_out)
+
+        delay_s = CALL_DELAY_S
+        is_long_poll = isinstance(order, effects.Hold) and order.wait_ms
+        # A worker answers a call with an older token at once.
+        if is_long_poll and order.token >= worker.token:
+            # The lease starts when the call arrives; the lists of runs are
+            # those at the end of the wait.
+            cluster.schedule(
+                CALL_DELAY_S,
+                lambda: (
+                    worker.answers(number)
+                    and self._begin_hold_wait(worker, order)
+                ),
+            )
+            delay_s = cluster.rng.uniform(CALL_DELAY_S, order.wait_ms / 1000)
+        cluster.schedule(delay_s, answer)
+
+    def _late(self, order: Order, delay_s: float) -> Order:
+        """Returns an order as it arrives after a delay."""
+        if not self.cluster.faults.is_late_lease_longer:
+            return order
+        late = copy.copy(order)
+        if isinstance(late, effects.Hold) and late.lease_until_ms:
+            late.lease_until_ms += int(delay_s * 1000)
+        elif isinstance(late, effects.Start):
+            late.start_before_ms += int(delay_s * 1000)
+        return late
+
+    def _double(
+        self,
+        number: int,
+        order: Order,
+        execute: Execution,
+        worker: jobworkers.Worker,
+    ) -> None:
+        """Executes a call a second time later; nobody hears its answer."""
+        sent_at, doubled = self.cluster.now, copy.copy(order)
+        self.cluster.schedule(
+            self.cluster.rng.uniform(0.0, jobfaults.LONGEST_DOUBLE_S),
+            lambda: (
+                worker.answers(number)
+                and execute(number, doubled, sent_at, worker)
+            ),
+        )
+
+    def _advance(self, worker: jobworkers.Worker) -> None:
+        worker.advance(self.cluster.now)
+        self.cluster.record_completions(worker)
+
+    def _reply(self, number: int, event: object) -> Callable[[], None]:
+        return lambda: self.cluster.deliver(
+            number, dataclasses.replace(event, now=self.cluster.now)
+        )
+
+    def _begin_hold_wait(
+        self, worker: jobworkers.Worker, order: effects.Hold
+    ) -> None:
+        self._advance(worker)
+        self._apply_hold(worker, order)
+        # The answer is computed from the same order and must not extend the
+        # lease further.
+        until = worker.granted_until(order, self.cluster.now)
+        order.lease_until_ms = int(until * 1000)
+
+    def _apply_hold(
+        self, worker: jobworkers.Worker, order: effects.Hold
+    ) -> tuple[events.CallResult, tuple, tuple]:
+        """Executes a hold and records the ends that it acknowledges."""
+        listed = worker.ended
+        answer = worker.hold(order, self.cluster.now)
+        if answer[0] == events.CallResult.DONE:
+            self.cluster.acknowledged.update(
+                row.task_id
+                for row in listed
+                if row.number <= order.acknowledged_end
+                and row.how == model.RunOutcome.DONE
+            )
+        return answer
+
+    def _hold(
+        self,
+        number: int,
+        order: effects.Hold,
+        sent_at: float,
+        worker: jobworkers.Worker | None,
+    ) -> Callable[[], None]:
+        now = self.cluster.now
+        outcome, running, ended = events.CallResult.UNKNOWN, (), ()
+        if worker is not None:
+            self._advance(worker)
+            outcome, running, ended = self._apply_hold(worker, order)
+        return self._reply(
+            number,
+            events.HoldAnswered(
+                now,
+                order.worker_id,
+                sent_at,
+                order.token,
+                order.incarnation,
+                outcome,
+                int(now * 1000),
+                worker.entry.born if worker else 0,
+                running,
+                ended,
+            ),
+        )
+
+    def _start(
+        self,
+        number: int,
+        order: effects.Start,
+        sent_at: float,
+        worker: jobworkers.Worker | None,
+    ) -> Callable[[], None]:
+        outcome = events.CallResult.UNKNOWN
+        if worker is not None:
+            outcome = self.start_run(order, worker)
+        return self._reply(
+            number,
+            events.StartAnswered(
+                self.cluster.now,
+                order.worker_id,
+                order.task_id,
+                order.run,
+                order.token,
+                outcome,
+            ),
+        )
+
+    def start_run(
+        self, order: effects.Start, worker: jobworkers.Worker
+    ) -> events.CallResult:
+        """Executes a start on a worker now and checks it against the rules.
+
+        Args:
+            order: The start; its task's job must be known to the cluster.
+            worker: The worker, whether calls reach it or not.
+
+        Returns:
+            The worker's answer.
+        """
+        cluster = self.cluster
+        job_id, _, number, _ = model.parse_task_id(order.task_id)
+        step = cluster.job_of(job_id).steps[number]
+        duration_s = cluster.durations.get(order.task_id, step.estimate_s)
+        run_outcome = model.RunOutcome.DONE
+        if job_id in cluster.hopeless:
+            run_outcome = model.RunOutcome.FAILED
+        elif step.standing:
+            duration_s = 1e9
+        elif cluster.rng.random() < cluster.faults.failed_run_share:
+            run_outcome = model.RunOutcome.FAILED
+        was_running = (order.task_id, order.run) in worker.running
+        self._advance(worker)
+        run = jobworkers.Running(
+            order.task_id,
+            order.run,
+            math.inf if step.gang else cluster.now + duration_s,
+            run_outcome,
+            work.reserved_resources(step),
+            duration_s,
+            cluster.now,
+            step.needs,
+        )
+        has_ticket = cluster.advice.has_ticket(order, worker)
+        outcome = worker.start(order, cluster.now, run, has_ticket)
+        if outcome == events.CallResult.DONE and not was_running:
+            if step.gang:
+                cluster.gangs.add_member(order, worker, step.tasks)
+            cluster.checks.check_start(order, worker, step)
+        return outcome
+
+    def _stop(
+        self,
+        number: int,
+        order: effects.Stop,
+        sent_at: float,
+        worker: jobworkers.Worker | None,
+    ) -> Callable[[], None]:
+        outcome = events.CallResult.UNKNOWN
+        if worker is not None:
+            outcome = worker.stop(order, self.cluster.now)
+        return self._reply(
+            number,
+            events.StopAnswered(
+                self.cluster.now,
+                order.worker_id,
+                order.task_id,
+                order.run,
+                order.token,
+                outcome,
+            ),
+        )
--- a/standins/mimosaridge_fakes/jobworkers.py
+++ b/standins/mimosaridge_fakes/jobworkers.py
@@ -44,21 +44,6 @@
         return max(0, int(100 * (1 - remaining)))
 
 
-@dataclasses.dataclass(slots=True)
-class Gang:
-    """The members of one run of a gang.
-
-    Attributes:
-        size: Number of its tasks, which work only together.
-        members: Workers that run its tasks, by task id.
-        is_working: Whether all members were present at a time.
-    """
-
-    size: int
-    members: dict[str, "Worker"] = dataclasses.field(default_factory=dict)
-    is_working: bool = False
-
-
 @dataclasses.dataclass(slots=True)
 class Worker:
     """One incarnation of a worker process.
--- a/tests/core/jobs/test_former_ownership.py
+++ b/tests/core/jobs/test_former_ownership.py
@@ -28,7 +28,7 @@
     def _capture_write(self, world):
         """Returns the owner's first write, which stays without answer."""
         written = []
-        world._write_progress = lambda number, effect: written.append(effect)
+        world.store.write = lambda number, effect: written.append(effect)
         world.run(0.1)
         self.assertIsInstance(written[0], effects.WriteProgress)
         return written[0]
--- a/tests/core/jobs/test_random.py
+++ b/tests/core/jobs/test_random.py
@@ -11,6 +11,7 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import model
 from mimosaridge_fakes import jobclusters
+from mimosaridge_fakes import jobfaults
 
 RECOVERY_S = 60.0
 
@@ -72,14 +73,14 @@
     def _play(self, seed, **faults):
         rng = random.Random(seed)
         world = jobclusters.Cluster(seed=seed)
-        world.faults = jobclusters.Faults(**faults)
+        world.faults = jobfaults.Faults(**faults)
         world.claim(0)
         for number in range(12):
             _submit(world, rng, number)
             world.run(rng.uniform(0.1, 1.5))
             _inject_fault(world, rng)
         self.assertEqual([], world.violations)
-        world.faults = jobclusters.Faults()
+        world.faults = jobfaults.Faults()
         world.frozen = set()
         for worker in world.workers.values():
             worker.is_reachable = True
--- a/tests/core/jobs/test_random_teams.py
+++ b/tests/core/jobs/test_random_teams.py
@@ -12,6 +12,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_fakes import jobclusters
+from mimosaridge_fakes import jobfaults
 
 DAEMONS = 3
 LEDGER = jobclusters.BACKEND
@@ -268,7 +269,7 @@
 
     def _end_faults(self):
         world = self.world
-        world.faults = jobclusters.Faults()
+        world.faults = jobfaults.Faults()
         world.frozen = set()
         for worker_id, worker in list(world.workers.items()):
             worker.is_reachable = True
--- a/tests/core/jobs/test_team_limits.py
+++ b/tests/core/jobs/test_team_limits.py
@@ -187,7 +187,7 @@
             order = effects.Start(
                 "w0", "w0:80", former_token, task_id, 1, "", "", "", before_ms
             )
-            world._begin_run(order, restarted)
+            world.calls.start_run(order, restarted)
         world.submit(
             "j2", model.Step(4, CORE, 30.0), queue="other", backend="other"
         )
--- a/tests/standins/test_jobchecks.py
+++ b/tests/standins/test_jobchecks.py
@@ -7,6 +7,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_fakes import jobclusters
+from mimosaridge_fakes import jobfaults
 
 CORE = resources.Resources(1000, 100, 0)
 LIMIT = resources.Resources(4000, 0, 0)
@@ -196,7 +197,7 @@
         world.run(0.1)
         self.assertNotEqual(fleet, world.fleet)
         world.faults.late_write_share = 0.0
-        world.run(jobclusters.LATE_WRITE_DELAY_S[1])
+        world.run(jobfaults.LATE_WRITE_DELAY_S[1])
         self.assertEqual(fleet, world.fleet)
 
     def test_a_late_write_does_not_replace_a_newer_one(self):
@@ -207,7 +208,7 @@
         world.faults.late_write_share = 0.0
         newer = model.Fleet(("w0", "w1"))
         world.execute(0, effects.WriteProgress(91, {}, (), newer))
-        world.run(jobclusters.LATE_WRITE_DELAY_S[1])
+        world.run(jobfaults.LATE_WRITE_DELAY_S[1])
         self.assertEqual(newer, world.fleet)
 
     def test_a_worker_may_be_cut_off_from_one_daemon_only(self):
@@ -250,7 +251,7 @@
         )
         world.workers["w0"].lease_until = 0.0
         latest = 0.0
-        for _ in range(int(jobclusters.LATE_CALL_DELAY_S[1])):
+        for _ in range(int(jobfaults.LATE_CALL_DELAY_S[1])):
             world.run(1.0)
             latest = max(latest, world.workers["w0"].lease_until)
         self.assertGreater(latest, sent_at + 5.0)
