--- a/standins/mimosaridge_fakes/jobcalls.py
+++ b/standins/mimosaridge_fakes/jobcalls.py
@@ -43,7 +43,7 @@
         if isinstance(order, effects.Hold):
             self._call(number, order, self._hold)
         elif isinstance(order, effects.Start):
-            self._call(number, order, self._start)
+            self._call(number, order, self.start)
         else:
             self._call(number, order, self._stop)
 
@@ -191,13 +191,17 @@
             ),
         )
 
-    def _start(
+    def start(
         self,
         number: int,
         order: effects.Start,
         sent_at: float,
         worker: jobworkers.Worker | None,
     ) -> Callable[[], None]:
+        """Executes a start and returns what delivers its answer to a daemon.
+
+        Without a worker nothing is executed, and the answer is a time-out.
+        """
         outcome = events.CallResult.UNKNOWN
         if worker is not None:
             outcome = self.start_run(order, worker)
--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -5,6 +5,7 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import model
+from mimosaridge_fakes import jobcalls
 from mimosaridge_fakes import jobclusters
 
 CORE = resources.Resources(1000, 100, 0)
@@ -40,12 +41,12 @@
 
         def carry_out():
             for order in held_back:
-                world._begin_run(order, world.workers["w0"])
+                world.calls.start_run(order, world.workers["w0"])
 
         world.schedule(late_s, carry_out)
         for order in held_back:
-            time_out = world._start_run(0, order, world.now, None)
-            world.schedule(jobclusters.CALL_TIMEOUT_S, time_out)
+            time_out = world.calls.start(0, order, world.now, None)
+            world.schedule(jobcalls.CALL_TIMEOUT_S, time_out)
         return world
 
     def test_a_late_start_on_a_restarted_worker_does_not_run_twice(self):
