Let starved steps use workers on which runs have failed

What callers saw: a job that may use one worker only (label or ticket) has nothing running for up to 4 s and more, with all workers idle (LOST), if runs of other jobs keep failing there.

Cause: `runs._may_suspend` counts the workers of a back end, not those that the waiting steps may use. A suspension for failures closed the worker for all steps, and no ticket was requested for it.

Why the fix works: a suspension for failures is now a preference (`Worker.backoff_until`); that of stalled, restarting and unhealthy workers stays strict (`Worker.unhealthy_until`). A step that has had nothing running for 1 s and finds no room on the other workers that it may use requests tickets for the suspended ones too and starts there, one task at a time if its tasks end. The pause of 1 s limits how fast its attempts are used up on a faulty worker.

New tests that pass before and after: tasks with a choice start on no suspended worker.

Open: on a worker that is really sick, a job without another one uses up its attempts after pauses of 1 s, formerly 1, 2 and 4 s.

--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -64,7 +64,7 @@
 ) -> None:
     group = owner.groups.get(event.task_id.rpartition(".")[0])
     if event.result == events.CallResult.UNHEALTHY:
-        worker.backoff_until = st.now + tunables.UNHEALTHY_BACKOFF_S
+        worker.unhealthy_until = st.now + tunables.UNHEALTHY_BACKOFF_S
     if group is not None:
         group.retry_at = st.now + REFUSAL_BACKOFF_S
         if event.result == events.CallResult.NO_TICKET:
--- a/packages/core/mimosaridge_core/jobs/flapping.py
+++ b/packages/core/mimosaridge_core/jobs/flapping.py
@@ -26,7 +26,7 @@
     rest_s = min(
         SUSPENSION_PER_RESTART_S * worker.ends_counted, MAX_SUSPENSION_S
     )
-    worker.backoff_until = st.now + rest_s
+    worker.unhealthy_until = st.now + rest_s
     effects.log_decision(
         out,
         "worker-flaps",
--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -168,6 +168,7 @@
         leases.assume_longest(st, worker)
     worker.lease_requested = False
     worker.failures = 0
+    worker.unhealthy_until = 0.0
     worker.backoff_until = 0.0
     worker.speed = 1.0
     worker.incarnation += 1
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -41,6 +41,8 @@
 
     Attributes:
         usable: Workers that can take starts, by back end and id.
+        startable: The same, with those on which runs have failed, which take
+            starts only of starved steps.
         freed: Workers on which runs have ended since the last pass.
         examine_interval_s: Time until a step without room is examined again on
             all workers.
@@ -54,6 +56,7 @@
     """
 
     usable: dict[str, dict[str, state.Worker]]
+    startable: dict[str, dict[str, state.Worker]]
     freed: set[str]
     examine_interval_s: float
     has_idle_asker: bool
@@ -80,7 +83,7 @@
     if not due:
         return
     current = PlacementPass(
-        usable_workers(st, owner),
+        *_usable_and_startable_workers(st, owner),
         freed,
         _examine_interval_s(len(waiting)),
         has_idle_asker,
@@ -132,7 +135,17 @@
     st: state.State, owner: state.Owner
 ) -> dict[str, dict[str, state.Worker]]:
     """Returns the workers that can take starts, by back end and id."""
+    return _usable_and_startable_workers(st, owner)[0]
+
+
+def _usable_and_startable_workers(
+    st: state.State, owner: state.Owner
+) -> tuple[
+    dict[str, dict[str, state.Worker]], dict[str, dict[str, state.Worker]]
+]:
+    """Returns workers as in `PlacementPass.usable` and `.startable`."""
     usable: dict[str, dict[str, state.Worker]] = {}
+    startable: dict[str, dict[str, state.Worker]] = {}
     stored = fleets.usable_workers(owner)
     for worker_id, worker in owner.workers.items():
         if (
@@ -145,10 +158,13 @@
             and not worker.entry.draining
             and worker.entry.zone not in st.zones_out
             and worker_id in stored
-            and st.now >= worker.backoff_until
+            and st.now >= worker.unhealthy_until
         ):
-            usable.setdefault(worker.entry.backend, {})[worker_id] = worker
-    return usable
+            backend = worker.entry.backend
+            startable.setdefault(backend, {})[worker_id] = worker
+            if st.now >= worker.backoff_until:
+                usable.setdefault(backend, {})[worker_id] = worker
+    return usable, startable
 
 
 def backend_of(st: state.State, entry: state.JobEntry) -> str:
@@ -183,13 +199,15 @@
     queue = st.configuration.queues.get(entry.job.queue)
     advice = queue.advice if queue is not None else None
     group.needs_ticket = advice is not None
-    pool = current.usable.get(backend_of(st, entry), {})
+    backend = backend_of(st, entry)
+    pool = current.usable.get(backend, {})
+    startable = current.startable.get(backend, {})
     # All tasks of a gang are placed together, on any of its workers.
     is_partial = not is_full and not group.step.gang
     approved = _approved_workers(st, current, group, pool, is_partial)
     place = _place_gang if group.step.gang else _place_each
     is_placed = place(st, owner, entry, group, approved, current.reserved, out)
-    if not is_placed and is_full and current.reserved:
+    if not is_placed and is_full:
         is_placed = _place_starved(
             st, owner, current, entry, group, approved, out
         )
@@ -203,7 +221,9 @@
         return
     starvation.update_blocked_since(st, group)
     if advice is not None:
-        _request_advice(st, owner, current, group, advice, pool, out)
+        is_owed = _is_owed_failing_workers(st, owner, current, group, backend)
+        asked = startable if is_owed else pool
+        _request_advice(st, owner, current, group, advice, asked, out)
     allowed = teamlimits.allowed_tasks(
         st, owner, entry, group.step.needs, len(group.waiting)
     )
@@ -223,25 +243,62 @@
     workers: list[state.Worker],
     out: list,
 ) -> bool:
-    """Places a starved step on reserved workers, as far as it is owed.
+    """Places a starved step as far as it is owed.
+
+    It may use reserved workers and, if it finds room on none of these, those on
+    which runs have failed.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        current: The pass.
+        entry: The job.
+        group: The step.
+        workers: Usable workers on which its tasks may run.
+        out: Effects.
 
-    Returns whether no task is left waiting.
+    Returns:
+        Whether no task is left waiting.
     """
     backend = backend_of(st, entry)
-    pool = current.usable.get(backend, {})
-    if not starvation.is_starved(st, owner, group, backend, pool):
-        return False
+    startable = current.startable.get(backend, {})
+    reserved = current.reserved
+    options = []
+    if reserved and starvation.is_starved(st, owner, group, backend, startable):
+        reserved = set()
+        options.append(workers)
+    if _is_owed_failing_workers(st, owner, current, group, backend):
+        options.append(_approved_workers(st, current, group, startable, False))
     waiting = len(group.waiting)
-    if group.step.gang:
-        _place_gang(st, owner, entry, group, workers, set(), out)
-    else:
-        # One task that ends is enough: the others respect reservations.
-        most = waiting if group.step.standing else 1
-        _place_each(st, owner, entry, group, workers, set(), out, most)
-    starvation.count_starts(owner, group, backend, waiting - len(group.waiting))
+    for option in options:
+        if group.step.gang:
+            _place_gang(st, owner, entry, group, option, reserved, out)
+        else:
+            # One task that ends is enough: the others wait for other workers.
+            most = waiting if group.step.standing else 1
+            _place_each(st, owner, entry, group, option, reserved, out, most)
+        started = waiting - len(group.waiting)
+        if started:
+            starvation.count_starts(owner, group, backend, started)
+            break
     return not group.waiting
 
 
+def _is_owed_failing_workers(
+    st: state.State,
+    owner: state.Owner,
+    current: PlacementPass,
+    group: state.Group,
+    backend: str,
+) -> bool:
+    """Returns whether a step may use workers on which runs have failed."""
+    startable = current.startable.get(backend, {})
+    usable = current.usable.get(backend, {})
+    return len(startable) > len(usable) and starvation.is_starved(
+        st, owner, group, backend, startable, starvation.FAILURE_PAUSE_S
+    )
+
+
 def _approved_workers(
     st: state.State,
     current: PlacementPass,
@@ -294,7 +351,12 @@
         if needs.fits(worker.entry.capacity)
         and (not label or label in worker.entry.labels)
     ]
-    large_enough.sort(key=lambda worker: worker.used.cpu_millis)
+    large_enough.sort(
+        key=lambda worker: (
+            worker.backoff_until > st.now,
+            worker.used.cpu_millis,
+        )
+    )
     ids = [worker.entry.worker_id for worker in large_enough]
     asked = advice_calls.workers_to_ask(st, group, advice, ids)
     if not asked:
@@ -334,8 +396,9 @@
         names |= group.tickets.keys() & pool.keys()
     workers = [pool[name] for name in names]
     backend = backend_of(st, st.table[group.job_id])
+    startable = current.startable.get(backend, {})
     reserved = current.reserved
-    if reserved and starvation.is_starved(st, owner, group, backend, pool):
+    if reserved and starvation.is_starved(st, owner, group, backend, startable):
         reserved = set()
     return fitting.could_start(group, workers, reserved)
 
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -309,6 +309,8 @@
 ) -> None:
     """Suspends starts on a worker after several failures in a row.
 
+    Starved steps may start there all the same: it may be the only worker with
+    their label or ticket.
     The suspension doubles with each further failure, up to a limit. Only some
     workers of a back end are suspended at a time: if more fail, the cause is
     with the jobs.
@@ -333,7 +335,7 @@
         and other.listed
         and other.entry.backend == worker.entry.backend
     ]
-    suspended = sum(other.backoff_until > st.now for other in others)
+    suspended = sum(other.suspended_until > st.now for other in others)
     workers = len(others) + 1
     most = max(1, int(tunables.MAX_SUSPENDED_SHARE * workers))
     return bool(others) and suspended < most
--- a/packages/core/mimosaridge_core/jobs/stalls.py
+++ b/packages/core/mimosaridge_core/jobs/stalls.py
@@ -126,7 +126,7 @@
     is_slow = worker.speed < SLOW_SPEED and len(jobs) >= MIN_JOBS_FOR_SPEED
     if not is_stalled and not is_slow:
         return
-    worker.backoff_until = max(worker.backoff_until, st.now + SUSPENSION_S)
+    worker.unhealthy_until = max(worker.unhealthy_until, st.now + SUSPENSION_S)
     moved = 0
     for run, group in monitored:
         if _should_move(run, group, still_s if is_stalled else 0.0):
--- a/packages/core/mimosaridge_core/jobs/starvation.py
+++ b/packages/core/mimosaridge_core/jobs/starvation.py
@@ -1,4 +1,6 @@
-"""Decides when a step may start on workers reserved for more urgent ones.
+"""Decides when a step may start on workers that are withheld from it.
+
+These are reserved for more urgent steps, or runs have failed there.
 
 Users are owed that a job doesn't have nothing running for 3 s while there is
 room for it and less than half of the service's capacity is in use. A worker
@@ -14,6 +16,10 @@
 # Workers with shorter tasks drain in this time, so that a large task gets its
 # turn.
 PATIENCE_S = 2.0
+# A step with nothing running uses workers on which runs have failed after this
+# time, which limits how fast its attempts are used up on a faulty worker. Ends
+# of runs may be known almost a second late.
+FAILURE_PAUSE_S = 1.0
 # Reservations hold regardless of the time above this share of capacity in use.
 # Exceeds the promised half, because users count runs at other moments.
 LOW_USE_SHARE = 0.6
@@ -37,6 +43,7 @@
     group: state.Group,
     backend: str,
     pool: dict[str, state.Worker],
+    patience_s: float = PATIENCE_S,
 ) -> bool:
     """Returns whether a step has waited too long beside unused capacity.
 
@@ -48,7 +55,9 @@
         owner: The owner.
         group: The step.
         backend: Name of its back end.
-        pool: Workers of the back end that can take starts, by id.
+        pool: Workers of the back end that can take starts, by id; with those on
+            which runs have failed.
+        patience_s: How long the step must have waited, and use been low.
     """
     if group.runs and not group.step.standing:
         return False
@@ -57,12 +66,12 @@
         use = owner.backend_use[backend] = _backend_use(st, pool, use)
     if not group.blocked_since:
         return False
-    if st.now - group.blocked_since < PATIENCE_S:
+    if st.now - group.blocked_since < patience_s:
         return False
     needs = work.reserved_resources(group.step)
     needed = [name for name in resources.NAMES if getattr(needs, name)]
     return _low_resources(use).issuperset(needed) and all(
-        st.now - use.low_since[name] >= PATIENCE_S for name in needed
+        st.now - use.low_since[name] >= patience_s for name in needed
     )
 
 
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -91,7 +91,10 @@
         answered_at: When it last answered.
         hold_open: Whether a hold is in flight.
         next_hold_at: When the next hold is due.
-        backoff_until: Gets no starts before that time.
+        unhealthy_until: Gets no starts before that time, since it is stalled or
+            unhealthy or has restarted repeatedly.
+        backoff_until: Gets starts only of starved steps before that time, since
+            runs have failed on it.
         failures: Consecutive failures.
         unanswered: Whether its latest hold got no answer.
         incarnation: Number of incarnations that the owner has seen end.
@@ -122,6 +125,7 @@
     answered_at: float = 0.0
     hold_open: bool = False
     next_hold_at: float = 0.0
+    unhealthy_until: float = 0.0
     backoff_until: float = 0.0
     failures: int = 0
     unanswered: bool = False
@@ -136,6 +140,11 @@
     ends_counted: float = 0.0
     ended_at: float = 0.0
 
+    @property
+    def suspended_until(self) -> float:
+        """When it gets starts as any other worker, as far as is known."""
+        return max(self.unhealthy_until, self.backoff_until)
+
     @property
     def rack(self) -> str:
         """The name of its rack, which is the last label."""
--- a/packages/core/mimosaridge_core/jobs/waiting.py
+++ b/packages/core/mimosaridge_core/jobs/waiting.py
@@ -221,7 +221,7 @@
         "workers": len(owner.workers),
         "held": sum(worker.held for worker in workers),
         "unanswered": sum(worker.unanswered for worker in workers),
-        "suspended": sum(worker.backoff_until > st.now for worker in workers),
+        "suspended": sum(worker.suspended_until > st.now for worker in workers),
         "unheld": len(owner.unheld),
         "open_in_store": len(fleets.usable_workers(owner)),
         "fleets_in_doubt": len(owner.fleets_in_doubt),
--- a/tests/core/jobs/test_starvation.py
+++ b/tests/core/jobs/test_starvation.py
@@ -1,6 +1,7 @@
 """Jobs that could run are not kept waiting by others that can't."""
 
 import dataclasses
+import itertools
 
 import testtools
 
@@ -375,6 +376,62 @@
         worker = world.daemons[0].owner.workers["w1"]
         self.assertGreater(worker.backoff_until, 0.0)
 
+    def test_failing_jobs_do_not_close_the_only_worker_with_a_ticket(self):
+        world = _world(advice=ADVICE)
+        self.patch(world, "is_good", lambda group, name: name == "w0")
+        small = resources.Resources(100, 10, 0)
+        for number in range(3):
+            jobs = [f"poison{number}{attempt}" for attempt in range(6)]
+            world.hopeless.update(jobs)
+            for job_id in jobs:
+                world.submit(job_id, model.Step(2, small, 0.1), queue=ROUTINE)
+            world.run(4.0)
+            world.submit(f"j{number}", model.Step(1, CORE, 0.5), queue=ROUTINE)
+        world.run(10.0)
+        self.assertEqual([], world.violations)
+
+    def test_tasks_that_fail_on_their_only_worker_pause_between_attempts(self):
+        world = _world()
+        world.hopeless.add("poison")
+        step = model.Step(1, CORE, 0.1, standing=True, label="rack-w0")
+        world.submit("poison", step, queue=ROUTINE)
+        starts_at = []
+        for _ in range(100):
+            before = len(world.starts)
+            world.run(0.1)
+            starts_at += [world.now] * (len(world.starts) - before)
+        # One failure does not suspend a worker.
+        gaps = [b - a for a, b in itertools.pairwise(starts_at[1:])]
+        self.assertGreater(len(gaps), 3)
+        self.assertGreater(min(gaps), 1.0)
+        self.assertLess(max(gaps), LONGEST_IDLE_S)
+
+    def test_tasks_with_a_choice_start_on_no_suspended_worker(self):
+        world = _world()
+        sick = world.workers["w1"]
+        suspended_rounds = 0
+        on_suspended = []
+        for number in range(40):
+            step = model.Step(4, CORE, 0.3)
+            world.submit(f"job{number}", step, queue=ROUTINE)
+            for _ in range(5):
+                worker = world.daemons[0].owner.workers["w1"]
+                is_suspended = worker.backoff_until > world.now + 0.1
+                before = len(world.starts)
+                world.run(0.1)
+                if is_suspended:
+                    suspended_rounds += 1
+                    on_suspended += [
+                        start
+                        for start in world.starts[before:]
+                        if start.worker_id == "w1"
+                    ]
+                for run in sick.running.values():
+                    run.outcome = model.RunOutcome.FAILED
+                    run.ends_at = min(run.ends_at, world.now)
+        self.assertGreater(suspended_rounds, 20)
+        self.assertEqual([], on_suspended)
+
 
 class TakeOverTest(testtools.TestCase):
     """Runs of a former owner disturb no current ones."""
