--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -309,11 +309,10 @@
 ) -> None:
     """Suspends starts on a worker after several failures in a row.
 
-    Starved steps may start there all the same: it may be the only worker with
-    their label or ticket.
     The suspension doubles with each further failure, up to a limit. Only some
     workers of a back end are suspended at a time: if more fail, the cause is
-    with the jobs.
+    with the jobs. Starved steps may start on a suspended worker all the same,
+    since it may be the only one with their label or ticket.
     """
     worker.failures += 1
     excess = worker.failures - tunables.FAILURES_BEFORE_BACKOFF
