--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,9 @@
 #!/usr/bin/env bash
-# Compiles the stand-ins and the harness of the cases; needs the standard
-# library alone.
+# Compiles the stand-ins, the harness and the cases, without leaving byte code;
+# needs the standard library alone.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m py_compile standins/*.py harness.py */case.py
+for file in *.py */case.py; do
+    python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), *sys.argv[1:])' \
+        "$file" exec
+done
--- a/review/harness.py
+++ b/review/harness.py
@@ -1,7 +1,7 @@
 """A small deployment for the scripts of the cases.
 
 It starts the daemons with the command of the deploy file, as separate
-processes on loopback addresses, beside the stand-ins of `standins/`. Every
+processes on loopback addresses, beside the stand-ins in this folder. Every
 process that it starts ends with it.
 """
 
@@ -23,7 +23,9 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
-STANDINS = pathlib.Path(__file__).resolve().parent / "standins"
+STANDINS = pathlib.Path(__file__).resolve().parent
+# Python without byte code, which would leave a folder among the cases.
+PYTHON = (sys.executable, "-B")
 HOST = "ficu95.example"
 KEY = "nfzs989anu6wsjnbanfq"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
@@ -168,7 +170,7 @@
     def start_store(self, config: dict) -> None:
         """Starts the store with its first configuration."""
         self.store = self._spawn(
-            [sys.executable, str(STANDINS / "store.py"), self.store_address],
+            [*PYTHON, str(STANDINS / "store.py"), self.store_address],
             "store.log",
         )
         self.wait_for(lambda: self.put("op/config", config), "the store", 10)
@@ -199,7 +201,7 @@
         control = control or self.control
         process = self._spawn(
             [
-                sys.executable,
+                *PYTHON,
                 str(STANDINS / "workers.py"),
                 self.store_address,
                 control,
@@ -223,7 +225,7 @@
 
     def start_proxy(self, address: str, target: str, control: str) -> None:
         """Starts a proxy before a worker."""
-        words = [sys.executable, str(STANDINS / "proxy.py")]
+        words = [*PYTHON, str(STANDINS / "proxy.py")]
         self._spawn([*words, address, target, control], "proxy.log")
         self.controls.append(control)
         self.wait_for(
