--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -17,6 +17,7 @@
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import messages
 from mimosaridge_daemon.jobs import storage
+from mimosaridge_daemon.jobs import telemetry
 from mimosaridge_platform import calls
 from mimosaridge_platform import storecalls
 
@@ -111,6 +112,13 @@
         except codec.MalformedError as error:
             LOG.error("{}", error)
             claim = Claim("", "", 0)
+        telemetry.log(
+            "owner-seen",
+            token=item.revision,
+            owner=claim.name,
+            boot=claim.boot,
+            number=claim.number,
+        )
         self.view = self._view_of(item.revision, claim)
         self._check_token(item.revision)
 
@@ -332,9 +340,22 @@
         value = documents.encode(Claim(self.name, self.boot, self.claim_count))
         expected = {documents.OWNER: self.view.revision}
         request = storecalls.write(expected, {documents.OWNER: value})
+        telemetry.log(
+            "claim",
+            number=self.claim_count,
+            replaced=view.revision,
+            replaced_owner=view.owner,
+            reason=self.evidence,
+        )
         self.asked_at = clocks.since_boot_s()
         answer = self.store.call(request)
-        if answer.is_ok():
+        if answer.is_err():
+            telemetry.log(
+                "claim-unanswered",
+                number=self.claim_count,
+                is_sent=answer.err_value.is_sent,
+            )
+        else:
             written = storecalls.decode_write_answer(*answer.ok_value)
             if written.result == storecalls.WriteResult.WRITTEN:
                 self._become_owner(written.revision)
