Replace a claim of ownership that its own process does not use

Cause: the store carried out a claim whose answer the daemon had given up. The daemon compared the key with its latest claim only, took the earlier one for that of a living owner, and never displaces a living owner with its own name. The log shows claim 2 unanswered, claim 3 in conflict and owner-seen with the daemon's own boot and number 2. That it made no claim, or that all failed, is ruled out by the same lines.

A daemon without a token now takes a claim of its own process for unused, however it came there, and replaces it by compare-and-swap on its revision. It uses no token that it doesn't have, so the former owner counts as gone; whom that claim displaced is still waited for. An owner that a worker fenced had the same end if nobody else had claimed.

--- a/packages/core/mimosaridge_core/jobs/election.py
+++ b/packages/core/mimosaridge_core/jobs/election.py
@@ -55,6 +55,7 @@
 # Evidence that the owner has given up or that its process has ended.
 RESTARTED = "this daemon has restarted"
 RESIGNED = "this daemon has resigned"
+UNUSED_CLAIM = "this process does not use its claim"
 LEFT = "the owner's message that it resigns"
 NEW_BOOT = "a later process of the owner's daemon"
 
@@ -137,6 +138,10 @@
 ) -> str:
     """Returns why a daemon should claim ownership; empty if it should not.
 
+    The daemon must not be the owner. If the store has a claim of its process
+    all the same, that was carried out after its answer was given up, or the
+    process has resigned since.
+
     Args:
         view: Its knowledge about the owner.
         name: Its name.
@@ -153,7 +158,7 @@
     if view.is_gone:
         return view.evidence or "the owner is gone"
     if view.owner == name:
-        return RESTARTED if view.boot != boot else ""
+        return RESTARTED if view.boot != boot else UNUSED_CLAIM
     storeless_since = max(view.storeless_since, answering_since)
     if view.storeless_since and now - storeless_since > OWNER_STORELESS_S:
         return "the owner reaches no store"
--- a/packages/daemon/mimosaridge_daemon/jobs/owning.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/owning.py
@@ -320,6 +320,8 @@
         return bool(self._reason_to_claim())
 
     def _reason_to_claim(self) -> str:
+        if self.token:
+            return ""
         return election.reason_to_claim(
             self.view,
             self.name,
@@ -332,8 +334,8 @@
         """Compares and swaps the key; its new revision is the token."""
         self.claim_count += 1
         view = self.view
-        restarted = view.owner == self.name and view.boot != self.boot
-        self.is_former_gone = view.is_gone or restarted
+        # This process doesn't use a token that it doesn't have.
+        self.is_former_gone = view.is_gone or view.owner == self.name
         self.evidence = self._reason_to_claim()
         self.former = view
         self.former_claimed_at = view.claimed_at
--- a/tests/daemon/jobs/test_owning.py
+++ b/tests/daemon/jobs/test_owning.py
@@ -238,6 +238,66 @@
         self.assertFalse(ownership._should_claim())
 
 
+class UnusedClaimTest(testtools.TestCase):
+    """The store has a claim of a process that is not the owner."""
+
+    def _claim_carried_out_late(self, *answers):
+        """The first of two claims is stored after its answer was given up."""
+        ownership, claimed, _ = _owning(
+            NO_ANSWER, NO_ANSWER, result.Ok((200, b'{"revision":9}')), *answers
+        )
+        ownership.update_view(_item("b", "boot-b", 5))
+        ownership.handle_leaving(5)
+        ownership._claim()
+        ownership.update_view(_item("a", "boot-a", 7))
+        return ownership, claimed
+
+    def test_a_claim_carried_out_late_does_not_keep_the_last_daemon_from_owning(
+        self,
+    ):
+        ownership, claimed = self._claim_carried_out_late()
+        self.assertTrue(ownership._should_claim())
+        ownership.try_to_claim()
+        self.assertEqual([(9, True)], claimed)
+        self.assertIn(b'"revision":7', ownership.store.requests[-1].body)
+
+    def test_a_conflict_with_an_own_earlier_claim_is_followed_by_another(self):
+        earlier = _item("a", "boot-a", 7)
+        ownership, claimed, _ = _owning(
+            result.Ok((412, b'{"items":[%s]}' % _encoded(earlier))),
+            result.Ok((200, b'{"revision":9}')),
+        )
+        ownership.update_view(_item("b", "boot-b", 5))
+        ownership.handle_leaving(5)
+        ownership.claim_count = 1
+        ownership.try_to_claim()
+        self.assertEqual([], claimed)
+        self.assertTrue(ownership._should_claim())
+        ownership.try_to_claim()
+        self.assertEqual([(9, True)], claimed)
+
+    def test_an_owner_that_a_worker_fenced_does_not_wait_for_another_daemon(
+        self,
+    ):
+        ownership, _, lost = _owning(result.Ok((200, b'{"revision":9}')))
+        ownership.update_view(None)
+        ownership._claim()
+        ownership.resign(9, "a worker accepted a newer fencing token")
+        self.assertEqual([9], lost)
+        self.assertTrue(ownership._should_claim())
+
+    def test_the_owner_before_an_unused_claim_is_waited_for(self):
+        ownership, _ = self._claim_carried_out_late()
+        seen_at = ownership.view.claimed_at
+        ownership.try_to_claim()
+        self.assertEqual(seen_at, ownership.former_claimed_at)
+        now = time.monotonic()
+        until = election.displaced_until(
+            now, ownership.former_claimed_at, ownership.is_former_gone
+        )
+        self.assertEqual(seen_at + election.LONGEST_DISPLACED_S, until)
+
+
 class RefusedTest(testtools.TestCase):
     """Refused connections to an owner, which a cut of links causes as well."""
 
