Carry out accepted jobs under the last settings of a removed queue or team

Cause: a queue that the configuration lacks counted as one with one attempt. The same class on related paths: such a queue had no advice, so its tasks started without a ticket, and the lowest priority; a removed team had no upper limit. An absent queue as such, or a second failure, are ruled out: the story has one end and the final state at the same moment.

Daemons keep the last settings of queues and teams that jobs name, and a job carries its queue's settings on acceptance for daemons that never knew it. The simulated cluster judges by the last settings, too.

--- a/packages/core/mimosaridge_core/jobs/model.py
+++ b/packages/core/mimosaridge_core/jobs/model.py
@@ -66,6 +66,50 @@
     may_miss: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdviceSettings:
+    """Settings of a queue whose starts need a ticket of the advice service.
+
+    Attributes:
+        decision_s: Fixed duration of a call, seconds.
+        per_worker_s: Additional duration for each worker in the call, seconds.
+        valid_s: Lifetime of a ticket, seconds.
+    """
+
+    decision_s: float
+    per_worker_s: float
+    valid_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queue:
+    """A queue that jobs are submitted to.
+
+    Attributes:
+        name: Its name.
+        host: Host name that selects it.
+        prefix: Path prefix that selects it.
+        backend: Back end whose workers run its tasks.
+        priority: Priority; 0 is the highest.
+        max_attempts: Number of failures of a task at which its job fails.
+        stretch: Latency objective as a multiple of the job's critical path.
+        target_s: Constant part of the latency objective, seconds.
+        public: Whether callers need no key.
+        advice: Settings of the advice service; None if any worker may be used.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    backend: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_s: float = 0.0
+    public: bool = False
+    advice: AdviceSettings | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
     """A job as accepted; immutable.
@@ -81,6 +125,8 @@
         repeats: Number of times the steps run; 0 for a single run at once.
         first_run_at: Wall-clock time of the first repetition, seconds.
         interval_s: Time between repetitions, seconds.
+        accepted_under: Settings of its queue on acceptance; None in jobs that
+            were stored without them.
     """
 
     job_id: str
@@ -93,6 +139,7 @@
     repeats: int = 0
     first_run_at: float = 0.0
     interval_s: float = 0.0
+    accepted_under: Queue | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,50 +170,6 @@
     steps: dict[str, StepProgress] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AdviceSettings:
-    """Settings of a queue whose starts need a ticket of the advice service.
-
-    Attributes:
-        decision_s: Fixed duration of a call, seconds.
-        per_worker_s: Additional duration for each worker in the call, seconds.
-        valid_s: Lifetime of a ticket, seconds.
-    """
-
-    decision_s: float
-    per_worker_s: float
-    valid_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Queue:
-    """A queue that jobs are submitted to.
-
-    Attributes:
-        name: Its name.
-        host: Host name that selects it.
-        prefix: Path prefix that selects it.
-        backend: Back end whose workers run its tasks.
-        priority: Priority; 0 is the highest.
-        max_attempts: Number of failures of a task at which its job fails.
-        stretch: Latency objective as a multiple of the job's critical path.
-        target_s: Constant part of the latency objective, seconds.
-        public: Whether callers need no key.
-        advice: Settings of the advice service; None if any worker may be used.
-    """
-
-    name: str
-    host: str
-    prefix: str
-    backend: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_s: float = 0.0
-    public: bool = False
-    advice: AdviceSettings | None = None
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Team:
     """A team that submits jobs.
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -21,6 +21,7 @@
 from mimosaridge_core.jobs import preemption
 from mimosaridge_core.jobs import ranking
 from mimosaridge_core.jobs import reserving
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import starting
 from mimosaridge_core.jobs import starvation
 from mimosaridge_core.jobs import state
@@ -170,7 +171,7 @@
 
 def backend_of(st: state.State, entry: state.JobEntry) -> str:
     """Returns the current back end of a job's queue."""
-    queue = st.configuration.queues.get(entry.job.queue)
+    queue = settings.queue_of(st, entry.job)
     return queue.backend if queue is not None else entry.job.backend
 
 
@@ -199,7 +200,7 @@
         return
     if group.step.gang and len(group.waiting) < teamlimits.gang_size(group):
         return
-    queue = st.configuration.queues.get(entry.job.queue)
+    queue = settings.queue_of(st, entry.job)
     advice = queue.advice if queue is not None else None
     group.needs_ticket = advice is not None
     backend = backend_of(st, entry)
--- a/packages/core/mimosaridge_core/jobs/preemption.py
+++ b/packages/core/mimosaridge_core/jobs/preemption.py
@@ -10,6 +10,7 @@
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import ranking
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
 from mimosaridge_core.jobs import work
@@ -60,7 +61,7 @@
         allowed: How many of its waiting tasks may start.
         out: Effects.
     """
-    queue = ranking.queue_of(st, st.table[group.job_id].job)
+    queue = settings.queue_of(st, st.table[group.job_id].job)
     if queue is None or not _is_urgent(st, owner, group, queue):
         return
     candidates = [
@@ -131,7 +132,7 @@
     step = group.step
     if not step.checkpoints or step.gang or step.standing:
         return 0.0
-    other = ranking.queue_of(st, st.table[group.job_id].job)
+    other = settings.queue_of(st, st.table[group.job_id].job)
     if other is None or other.priority <= queue.priority:
         return 0.0
     return ranking.latest_start(st, group, other) - st.wall
--- a/packages/core/mimosaridge_core/jobs/ranking.py
+++ b/packages/core/mimosaridge_core/jobs/ranking.py
@@ -1,21 +1,17 @@
 """Order in which steps with waiting tasks are placed."""
 
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import work
 
 # Shortest run time as a fraction of the declared one: declared run times are up
 # to half too high or too low.
 MIN_ESTIMATE_FRACTION = 0.7
-# Priority of jobs whose queue no longer exists: lower than all others.
+# Priority of jobs whose queue's settings are unknown: lower than all others.
 LOWEST_PRIORITY = 1_000
 
 
-def queue_of(st: state.State, job: model.Job) -> model.Queue | None:
-    """Returns the current configuration of a job's queue; None if removed."""
-    return st.configuration.queues.get(job.queue)
-
-
 def completion_target(
     st: state.State, group: state.Group, queue: model.Queue
 ) -> float:
@@ -38,7 +34,7 @@
     decides. Within a priority, jobs that can still meet their objective precede
     late ones, and then the earlier latest start decides.
     """
-    queue = queue_of(st, st.table[group.job_id].job)
+    queue = settings.queue_of(st, st.table[group.job_id].job)
     if queue is None:
         return (True, LOWEST_PRIORITY, True, group.ready_at)
     over_rate = group.job_id in owner.over_rate
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -5,6 +5,7 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
 from mimosaridge_core.jobs import tunables
@@ -343,9 +344,10 @@
     """Fails a job if a task that failed has no attempt left."""
     if st.configuration is None:
         return
-    queue = st.configuration.queues.get(entry.job.queue)
-    max_attempts = queue.max_attempts if queue else 1
-    if work.failed_attempts(progress, step, index) >= max_attempts:
+    queue = settings.queue_of(st, entry.job)
+    if queue is None:
+        return
+    if work.failed_attempts(progress, step, index) >= queue.max_attempts:
         keys = set(owner.jobs.get(entry.job.job_id, ()))
         stopping.stop_groups(st, owner, keys, "job failed", out)
         work.finish(st, owner, entry, model.JobState.FAILED, out)
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -474,6 +474,9 @@
         configuration: The configuration in force; None before the first.
         former_backends: Back ends that queues had in earlier configurations,
             by queue.
+        removed_queues: Last settings of queues that the configuration lacks,
+            by name; only of those that jobs in the table name.
+        removed_teams: The same of teams.
         zones_out: Availability zones taken out of service.
         settings_confirmed_at: Time up to which all changes of the configuration
             and of `zones_out` are known, steady seconds.
@@ -490,6 +493,12 @@
     former_backends: dict[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
+    removed_queues: dict[str, model.Queue] = dataclasses.field(
+        default_factory=dict
+    )
+    removed_teams: dict[str, model.Team] = dataclasses.field(
+        default_factory=dict
+    )
     zones_out: frozenset[str] = frozenset()
     settings_confirmed_at: float = 0.0
     table: dict[str, JobEntry] = dataclasses.field(default_factory=dict)
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -7,6 +7,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import runs
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
 from mimosaridge_core.jobs import unheldusage
@@ -25,6 +26,7 @@
     st.configuration = new
     if old is not None:
         _record_former_backends(st, old)
+        settings.keep_removed(st, old)
     if st.owner is not None:
         unheldusage.invalidate(st.owner)
         if old is None:
--- a/packages/core/mimosaridge_core/jobs/teamlimits.py
+++ b/packages/core/mimosaridge_core/jobs/teamlimits.py
@@ -1,6 +1,7 @@
 """Upper limits of teams, as the placement of tasks must respect them."""
 
 from mimosaridge_core import resources
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import unheldusage
 
@@ -13,7 +14,7 @@
     requested: int,
 ) -> int:
     """Returns how many of the tasks the team's upper limit still allows."""
-    team = st.configuration.teams.get(entry.job.team)
+    team = settings.team_of(st, entry.job.team)
     if team is None or team.upper_limit == resources.ZERO:
         return requested
     limit = team.upper_limit
--- a/packages/core/mimosaridge_core/jobs/unheldusage.py
+++ b/packages/core/mimosaridge_core/jobs/unheldusage.py
@@ -19,6 +19,7 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import fleets
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import work
 
@@ -96,7 +97,7 @@
     totals: dict[str, _TeamTotal] = {}
     needs_on_closed: dict[tuple[str, str], resources.Resources] = {}
     for entry in st.table.values():
-        team = st.configuration.teams.get(entry.job.team)
+        team = settings.team_of(st, entry.job.team)
         if team is None or team.upper_limit == resources.ZERO:
             continue
         if not _may_run(owner, entry):
--- a/packages/core/mimosaridge_core/jobs/waiting.py
+++ b/packages/core/mimosaridge_core/jobs/waiting.py
@@ -13,6 +13,7 @@
 from mimosaridge_core.jobs import fitting
 from mimosaridge_core.jobs import fleets
 from mimosaridge_core.jobs import placement
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import teamlimits
 from mimosaridge_core.jobs import work
@@ -158,7 +159,7 @@
         return WaitReason.TEAM_LIMIT, {
             "team": team,
             "usage": _amounts(owner.usage.get(team, resources.ZERO)),
-            "limit": _amounts(st.configuration.teams[team].upper_limit),
+            "limit": _amounts(settings.team_of(st, team).upper_limit),
         }
     return _explain_by_workers(st, owner, group, pool)
 
--- a/packages/core/mimosaridge_core/jobs/work.py
+++ b/packages/core/mimosaridge_core/jobs/work.py
@@ -3,6 +3,7 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import tunables
 
@@ -90,7 +91,7 @@
     st: state.State, owner: state.Owner, job: model.Job, out: list
 ) -> None:
     """Records whether a job exceeds the rate that its team's weight allows."""
-    team = st.configuration.teams.get(job.team) if st.configuration else None
+    team = settings.team_of(st, job.team) if st.configuration else None
     if team is None:
         return
     burst = max(1.0, team.weight * RATE_BURST_S)
--- a/standins/mimosaridge_fakes/jobadvice.py
+++ b/standins/mimosaridge_fakes/jobadvice.py
@@ -46,7 +46,9 @@
             if self.is_good(effect.group, worker_id)
         ]
         job = cluster.job_of(effect.group)
-        advice = cluster.daemons[number].configuration.queues[job.queue].advice
+        configuration = cluster.daemons[number].configuration
+        queue = configuration.queues.get(job.queue)
+        advice = (queue or cluster.latest_queue(job.queue)).advice
         delay_s, valid_s = ADVICE_S, TICKET_S
         if advice is not None:
             delay_s = advice_calls.call_duration_s(advice, len(effect.workers))
@@ -95,6 +97,7 @@
         queue_name = cluster.job_of(group).queue
         queues = [
             configuration.queues.get(queue_name)
+            or cluster.latest_queue(queue_name)
             for configuration in cluster.checks.configurations_in_force()
         ]
         if any(queue is None or queue.advice is None for queue in queues):
--- a/standins/mimosaridge_fakes/jobchecks.py
+++ b/standins/mimosaridge_fakes/jobchecks.py
@@ -264,8 +264,7 @@
             step: The step.
         """
         cluster = self.cluster
-        configuration = cluster.configurations[-1][1]
-        queue = configuration.queues.get(job.queue)
+        queue = cluster.latest_queue(job.queue)
         backend = queue.backend if queue is not None else job.backend
         workers = [
             worker
--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -162,6 +162,13 @@
                 number, events.ConfigurationChanged(self.now, configuration)
             )
 
+    def latest_queue(self, name: str) -> model.Queue | None:
+        """Returns the latest settings of a queue, also of a removed one."""
+        for _, configuration in reversed(self.configurations):
+            if name in configuration.queues:
+                return configuration.queues[name]
+        return None
+
     def add_worker(
         self,
         worker_id: str,
@@ -261,6 +268,9 @@
         **fields: object,
     ) -> None:
         """Stores a job and notifies all daemons."""
+        fields.setdefault(
+            "accepted_under", self.configurations[-1][1].queues.get(queue)
+        )
         job = model.Job(
             job_id, queue, backend, team, "text", steps, self.now, **fields
         )
--- a/tests/daemon/jobs/test_documents.py
+++ b/tests/daemon/jobs/test_documents.py
@@ -1,5 +1,7 @@
 """Odd items of the daemons' own state: a value or malformed."""
 
+import dataclasses
+
 from hypothesis import given
 from hypothesis import strategies
 import oddvalues
@@ -49,6 +51,15 @@
         encoded = oddvalues.encode(FIELDS)
         self.assertEqual(JOB, documents.decode_job(encoded, "0" * 16))
 
+    def test_a_job_keeps_the_settings_of_its_queue(self):
+        advice = model.AdviceSettings(0.03, 0.0004, 1.5)
+        queue = model.Queue(
+            "q", "host", "/q/", "registry", max_attempts=4, advice=advice
+        )
+        job = dataclasses.replace(JOB, accepted_under=queue)
+        encoded = documents.encode(job)
+        self.assertEqual(job, documents.decode_job(encoded, "0" * 16))
+
     def test_number_out_of_range_is_malformed(self):
         for value in (10**400, -(10**400), 10**5000, float("nan")):
             step = {"tasks": value, "needs": {}}
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -243,6 +243,7 @@
         self.assertEqual("r1-3", job.steps[0].rack)
         self.assertEqual((0,), job.steps[1].after)
         self.assertEqual(0.9, job.steps[0].estimate_s)
+        self.assertEqual(QUEUE, job.accepted_under)
 
     def test_step_that_depends_on_itself_is_rejected(self):
         body = b'{"taskSpec":"","steps":[{"count":1,"after":[0]}]}'
