Pace backfill by the tail latencies of serving tasks beside it

On a worker with both kinds, backfill rests at first; its pace rises slowly while all tails are far below their targets and drops to zero when one comes near. Orders without confirmation are sent again, also if a late earlier one may have been carried out after them; backfill that disturbs for 2 s although it should rest is stopped. Such workers are asked for their runs every half second.

Runs are counted on their worker as backfill or serving, so that whether both would share it is known without a look at all runs.

The simulated workers have tails and paces, and their cluster checks for harm. Two tests of the wire asserted that the fifth column of a run is not read; they now say that it is, and that the sixth isn't.

--- a/packages/core/mimosaridge_core/jobs/effects.py
+++ b/packages/core/mimosaridge_core/jobs/effects.py
@@ -82,6 +82,29 @@
     incarnation: int
 
 
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """Sets the speed at which a run works, and so how much it disturbs others.
+
+    Attributes:
+        worker_id: Id of the worker.
+        address: IP:PORT.
+        token: The owner's fencing token.
+        task_id: Id of the task.
+        run: Number of the run.
+        percent: Percentage of its full speed, 0 to 100.
+        incarnation: Incarnation of the worker that the call is meant for.
+    """
+
+    worker_id: str
+    address: str
+    token: int
+    task_id: str
+    run: int
+    percent: int
+    incarnation: int
+
+
 @dataclasses.dataclass(slots=True)
 class AskAdvice:
     """Makes a daemon ask the advice service which workers may run a step.
--- a/packages/core/mimosaridge_core/jobs/events.py
+++ b/packages/core/mimosaridge_core/jobs/events.py
@@ -316,6 +316,31 @@
     result: CallResult
 
 
+@dataclasses.dataclass(slots=True)
+class PaceAnswered:
+    """An order to change the pace of a run was answered or failed.
+
+    Attributes:
+        now: Steady time, seconds.
+        worker_id: Id of the worker.
+        task_id: Id of the task.
+        run: Number of the run.
+        token: Fencing token of the call.
+        incarnation: Incarnation of the worker that the call was meant for.
+        percent: Percentage of its full speed.
+        result: Result of the call.
+    """
+
+    now: float
+    worker_id: str
+    task_id: str
+    run: int
+    token: int
+    incarnation: int
+    percent: int
+    result: CallResult
+
+
 @dataclasses.dataclass(slots=True)
 class AdviceAnswered:
     """A call for advice about a step was answered or failed.
--- a/packages/core/mimosaridge_core/jobs/fitting.py
+++ b/packages/core/mimosaridge_core/jobs/fitting.py
@@ -163,9 +163,9 @@
     seconds; on separate workers there is none.
     """
     if group.step.fills:
-        return any(run.is_latency_sensitive for run in worker.runs.values())
+        return worker.serving > 0
     if group.step.target_ms:
-        return any(run.fills for run in worker.runs.values())
+        return worker.backfill > 0
     return False
 
 
--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -15,6 +15,7 @@
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import resigning
 from mimosaridge_core.jobs import runs
+from mimosaridge_core.jobs import sharing
 from mimosaridge_core.jobs import stalls
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import timing
@@ -174,15 +175,19 @@
             # The next incarnation numbers its ends anew.
             0 if worker.unanswered else worker.acknowledged_end,
             worker.lease_until_ms if is_renewal else 0,
-            _long_poll_ms(st, owner) if is_long_poll else 0,
+            _long_poll_ms(st, owner, worker) if is_long_poll else 0,
             worker.incarnation,
         )
     )
 
 
-def _long_poll_ms(st: state.State, owner: state.Owner) -> int:
+def _long_poll_ms(
+    st: state.State, owner: state.Owner, worker: state.Worker
+) -> int:
     """Returns how long a worker may delay its answer, in milliseconds."""
     longest = timing.hold_wait_ms(st.bounds)
+    if worker.is_shared:
+        longest = min(longest, tunables.SHARED_WAIT_MS)
     if st.now < owner.lossy_until:
         return min(longest, tunables.LOSSY_WAIT_MS)
     return longest
@@ -287,6 +292,7 @@
     owner.unheld.pop(event.worker_id, None)
     stalls.update_progress(st, owner, worker, event.running, bool(event.ended))
     _update_running(st, owner, worker, event, out)
+    sharing.follow_tails(st, owner, worker, out)
     _process_ended(st, owner, worker, event, out)
     _end_unlisted(st, owner, worker, event, out)
     stalls.handle_stall(st, owner, worker, out)
@@ -314,6 +320,7 @@
         run.is_listed = True
         run.saved = row.saved
         run.percent = row.percent
+        run.load = row.load
 
 
 def _process_ended(
--- a/packages/core/mimosaridge_core/jobs/model.py
+++ b/packages/core/mimosaridge_core/jobs/model.py
@@ -292,12 +292,16 @@
         run: Number of the run.
         saved: Latest checkpoint; empty for none.
         percent: Progress of the task in percent.
+        load: Rough figure for the last half second: the tail latency of a task
+            with a latency target, milliseconds; the processor time in use of
+            another one, millicores.
     """
 
     task_id: str
     run: int
     saved: str
     percent: float
+    load: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/mimosaridge_core/jobs/reducer.py
+++ b/packages/core/mimosaridge_core/jobs/reducer.py
@@ -7,6 +7,7 @@
 from mimosaridge_core.jobs import holds
 from mimosaridge_core.jobs import ownership
 from mimosaridge_core.jobs import resigning
+from mimosaridge_core.jobs import sharing
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import table
 from mimosaridge_core.jobs import ticking
@@ -18,6 +19,7 @@
     holds,
     ownership,
     resigning,
+    sharing,
     answers,
     table,
     ticking,
--- a/packages/core/mimosaridge_core/jobs/reserving.py
+++ b/packages/core/mimosaridge_core/jobs/reserving.py
@@ -42,7 +42,7 @@
             found.append(run)
     return StandingRuns(
         resources.total([run.needs for run in found]),
-        any(run.is_latency_sensitive for run in found),
+        any(run.target_ms > 0 for run in found),
         any(run.fills for run in found),
     )
 
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -6,6 +6,7 @@
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import settings
+from mimosaridge_core.jobs import sharing
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
 from mimosaridge_core.jobs import tunables
@@ -30,6 +31,8 @@
     """Counts a run against its worker's capacity and its team's usage."""
     worker.runs[(run.task_id, run.run)] = run
     worker.used = worker.used + run.needs
+    worker.backfill += run.fills
+    worker.serving += run.target_ms > 0
     owner.usage[run.team] = (
         owner.usage.get(run.team, resources.ZERO) + run.team_needs
     )
@@ -41,6 +44,8 @@
         return
     owner.freed.add(run.worker_id)
     worker.used = worker.used - run.needs
+    worker.backfill -= run.fills
+    worker.serving -= run.target_ms > 0
     owner.usage[run.team] = owner.usage[run.team] - run.team_needs
 
 
@@ -69,9 +74,11 @@
         percent=row.percent,
         percent_at=st.now,
         is_listed=True,
+        pace=None,
     )
     _describe(st, worker, run)
     add(owner, worker, run)
+    sharing.begin(st, worker, run)
     _attach(st, owner, worker, run, out)
 
 
@@ -102,6 +109,7 @@
             remove(owner, worker, run)
             _describe(st, worker, run)
             add(owner, worker, run)
+            sharing.begin(st, worker, run)
             _attach(st, owner, worker, run, out)
 
 
@@ -116,7 +124,7 @@
         run.team = entry.job.team
         run.needs = work.reserved_resources(entry.job.steps[number])
         run.team_needs = entry.job.steps[number].needs
-        run.is_latency_sensitive = entry.job.steps[number].target_ms > 0
+        run.target_ms = entry.job.steps[number].target_ms
         run.fills = entry.job.steps[number].fills
     elif _is_task_id(run.task_id):
         run.needs = run.team_needs = worker.entry.capacity
--- a/packages/core/mimosaridge_core/jobs/stalls.py
+++ b/packages/core/mimosaridge_core/jobs/stalls.py
@@ -43,6 +43,8 @@
         group = owner.groups.get(run.task_id.rpartition(".")[0])
         if group is None or group.step.standing:
             continue
+        if run.fills and worker.pace < state.FULL_PACE:
+            continue
         is_young = st.now - run.started_at < timing.startup_grace_s(st.bounds)
         is_gang_waiting = group.step.gang and run.percent <= 0
         if (
--- a/packages/core/mimosaridge_core/jobs/starting.py
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -4,6 +4,7 @@
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import runs
+from mimosaridge_core.jobs import sharing
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import tunables
 from mimosaridge_core.jobs import work
@@ -45,10 +46,11 @@
         st.now,
         saved=saved,
         percent_at=st.now,
-        is_latency_sensitive=group.step.target_ms > 0,
+        target_ms=group.step.target_ms,
         fills=group.step.fills,
     )
     runs.add(owner, worker, run)
+    sharing.begin(st, worker, run)
     group.runs.setdefault(index, []).append(run)
     group.waiting.discard(index)
     work.mark_started(st, owner, entry)
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -9,6 +9,8 @@
 # Team of the runs of jobs that are not in the table. Jobs of public queues may
 # have the empty string.
 UNKNOWN_TEAM = None
+# Pace of a run that is not slowed down, in percent.
+FULL_PACE = 100
 
 
 class Phase(enum.StrEnum):
@@ -45,9 +47,14 @@
         is_listed: Whether its worker has listed it as running.
         is_start_answered: Whether the start was answered; if not, it may be
             carried out late.
-        is_latency_sensitive: Whether its step has a latency target.
+        target_ms: Latency target of its step, milliseconds; 0 for none.
         fills: Whether it is backfill: it uses processor time that other runs
             leave idle.
+        load: Its tail latency or its processor time as last reported; see
+            `model.RunReport`.
+        pace: Percentage of its full speed that its worker has confirmed; None
+            if that is unknown.
+        pace_sent_at: When an order to change its pace was last sent.
     """
 
     task_id: str
@@ -66,8 +73,11 @@
     why_stopped: str = ""
     is_listed: bool = False
     is_start_answered: bool = False
-    is_latency_sensitive: bool = False
+    target_ms: int = 0
     fills: bool = False
+    load: float = 0.0
+    pace: int | None = FULL_PACE
+    pace_sent_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,6 +145,12 @@
         closed_jobs: Jobs whose tasks it may still run, or that have ended there
             without a stored result, since it was closed for starts; None if it
             is open.
+        backfill: Number of its runs that are backfill.
+        serving: Number of its runs with a latency target.
+        pace: Percentage of full speed at which its backfill should work.
+        pace_changed_at: When that last changed.
+        disturbed_since: Since when one of its serving runs has missed its
+            target while backfill worked there; 0 if none does.
         ends_counted: Decaying count of ended incarnations.
         ended_at: When an incarnation last ended.
     """
@@ -173,6 +189,11 @@
     renewal: LeaseCall | None = None
     unanswered_leases: list[LeaseCall] = dataclasses.field(default_factory=list)
     closed_jobs: tuple[str, ...] | None = None
+    backfill: int = 0
+    serving: int = 0
+    pace: int = FULL_PACE
+    pace_changed_at: float = 0.0
+    disturbed_since: float = 0.0
     ends_counted: float = 0.0
     ended_at: float = 0.0
 
@@ -181,6 +202,11 @@
         """When it gets starts as any other worker, as far as is known."""
         return max(self.unhealthy_until, self.backoff_until)
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether backfill runs there beside tasks with a latency target."""
+        return self.backfill > 0 and self.serving > 0
+
     @property
     def rack(self) -> str:
         """The name of its rack, which is the last label."""
@@ -395,6 +421,7 @@
         asked: Number of calls for advice made.
         freed: Workers on which runs have ended since the last placement.
         stops_checked_at: When unanswered stops were last checked.
+        paces_checked_at: When unconfirmed paces were last checked.
         explain_at: When the log next explains what waits.
         status_at: When the log next describes the owner.
         exceeded: Teams whose usage exceeds their upper limit.
@@ -450,6 +477,7 @@
     asked: int = 0
     freed: set[str] = dataclasses.field(default_factory=set)
     stops_checked_at: float = 0.0
+    paces_checked_at: float = 0.0
     explain_at: float = 0.0
     status_at: float = 0.0
     exceeded: set[str] = dataclasses.field(default_factory=set)
--- a/packages/core/mimosaridge_core/jobs/ticking.py
+++ b/packages/core/mimosaridge_core/jobs/ticking.py
@@ -10,6 +10,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import holds
 from mimosaridge_core.jobs import placement
+from mimosaridge_core.jobs import sharing
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import waiting
 from mimosaridge_core.jobs import work
@@ -65,6 +66,7 @@
     holds.check,
     draining.check,
     answers.check,
+    sharing.check,
     placement.place_waiting_tasks,
     writing.write_due,
     waiting.check,
--- a/packages/core/mimosaridge_core/jobs/tunables.py
+++ b/packages/core/mimosaridge_core/jobs/tunables.py
@@ -19,6 +19,9 @@
 # Longest wait of a hold while answers get lost: ended runs stay unknown until
 # the hold after the lost one.
 LOSSY_WAIT_MS = 300
+# Longest wait of a hold at a worker whose backfill is paced: workers report the
+# tail latencies of the last half second.
+SHARED_WAIT_MS = 500
 # Time after an unanswered hold during which answers are expected to get lost.
 LOSSY_S = 4.0
 # Pause before a failed hold is retried; a lease allows for a few retries.
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -153,6 +153,7 @@
             effects.Hold: self.router.give,
             effects.Start: self.router.give,
             effects.Stop: self.router.give,
+            effects.Pace: self.router.give,
             effects.AskAdvice: self._ask_advice,
             effects.WriteProgress: self._write_progress,
             effects.Resign: lambda effect: self.ownership.resign(
--- a/packages/daemon/mimosaridge_daemon/jobs/messages.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/messages.py
@@ -120,6 +120,7 @@
     holds: tuple[tuple[int, effects.Hold], ...] = ()
     starts: tuple[tuple[int, effects.Start], ...] = ()
     stops: tuple[tuple[int, effects.Stop], ...] = ()
+    paces: tuple[tuple[int, effects.Pace], ...] = ()
 
     @classmethod
     def of(cls, orders: list[tuple[int, Any]]) -> "WorkerOrders":
@@ -128,11 +129,12 @@
             _of_type(orders, effects.Hold),
             _of_type(orders, effects.Start),
             _of_type(orders, effects.Stop),
+            _of_type(orders, effects.Pace),
         )
 
     def all(self) -> tuple[tuple[int, Any], ...]:
         """Returns all orders with their numbers."""
-        return (*self.holds, *self.starts, *self.stops)
+        return (*self.holds, *self.starts, *self.stops, *self.paces)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,6 +144,7 @@
     holds: tuple[tuple[int, events.HoldAnswered], ...] = ()
     starts: tuple[tuple[int, events.StartAnswered], ...] = ()
     stops: tuple[tuple[int, events.StopAnswered], ...] = ()
+    paces: tuple[tuple[int, events.PaceAnswered], ...] = ()
 
     @classmethod
     def of(cls, answers: list[tuple[int, Any]]) -> "WorkerAnswers":
@@ -150,11 +153,12 @@
             _of_type(answers, events.HoldAnswered),
             _of_type(answers, events.StartAnswered),
             _of_type(answers, events.StopAnswered),
+            _of_type(answers, events.PaceAnswered),
         )
 
     def all(self) -> tuple[tuple[int, Any], ...]:
         """Returns all answers with their numbers."""
-        return (*self.holds, *self.starts, *self.stops)
+        return (*self.holds, *self.starts, *self.stops, *self.paces)
 
 
 def _of_type(
--- a/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
@@ -24,8 +24,13 @@
 ORDER_TIMEOUT_S = 0.4
 
 
-Order = effects.Hold | effects.Start | effects.Stop
-Answer = events.HoldAnswered | events.StartAnswered | events.StopAnswered
+Order = effects.Hold | effects.Start | effects.Stop | effects.Pace
+Answer = (
+    events.HoldAnswered
+    | events.StartAnswered
+    | events.StopAnswered
+    | events.PaceAnswered
+)
 
 # Results of a call that was not carried out.
 NOT_DONE = (
@@ -62,6 +67,17 @@
             result,
             detail,
         )
+    if isinstance(order, effects.Pace):
+        return events.PaceAnswered(
+            now,
+            order.worker_id,
+            order.task_id,
+            order.run,
+            order.token,
+            order.incarnation,
+            order.percent,
+            result,
+        )
     return events.StopAnswered(
         now,
         order.worker_id,
@@ -100,7 +116,7 @@
 
     def _repeat_and_post(self, order: Order) -> None:
         answer = self.call(order)
-        if not isinstance(order, effects.Stop):
+        if isinstance(order, effects.Hold | effects.Start):
             answer.is_repeated = True
         if isinstance(order, effects.Start) and answer.result in NOT_DONE:
             answer.result = events.CallResult.UNKNOWN
@@ -125,6 +141,8 @@
             return self._hold(order)
         if isinstance(order, effects.Start):
             request = workercalls.start(order)
+        elif isinstance(order, effects.Pace):
+            request = workercalls.pace(order)
         else:
             request = workercalls.stop(order)
         outcome, reason, _ = self._exchange(
--- a/standins/mimosaridge_fakes/jobcalls.py
+++ b/standins/mimosaridge_fakes/jobcalls.py
@@ -20,7 +20,7 @@
 # An unanswered call fails after this time.
 CALL_TIMEOUT_S = 0.8
 
-Order = effects.Hold | effects.Start | effects.Stop
+Order = effects.Hold | effects.Start | effects.Stop | effects.Pace
 # Executes an order of a daemon, sent at a time, on a worker, or on none if the
 # call times out; returns what delivers the answer.
 Execution = Callable[
@@ -44,6 +44,8 @@
             self._call(number, order, self.hold)
         elif isinstance(order, effects.Start):
             self._call(number, order, self.start)
+        elif isinstance(order, effects.Pace):
+            self._call(number, order, self.pace)
         else:
             self._call(number, order, self.stop)
 
@@ -273,6 +275,8 @@
             duration_s,
             cluster.now,
             step.needs,
+            step.target_ms,
+            step.fills,
         )
         has_ticket = cluster.advice.has_ticket(order, worker)
         outcome = worker.start(order, cluster.now, run, has_ticket)
@@ -310,3 +314,34 @@
                 outcome,
             ),
         )
+
+    def pace(
+        self,
+        number: int,
+        order: effects.Pace,
+        sent_at: float,
+        worker: jobworkers.Worker | None,
+    ) -> Callable[[], None]:
+        """Executes an order for a run's speed and returns what answers it.
+
+        Without a worker nothing is executed, and the answer is a time-out.
+        """
+        outcome = events.CallResult.UNKNOWN
+        if worker is not None:
+            outcome = events.CallResult.OTHER_INCARNATION
+            if worker.entry.address == order.address:
+                self._advance(worker)
+                outcome = worker.pace(order)
+        return self._reply(
+            number,
+            events.PaceAnswered(
+                self.cluster.now,
+                order.worker_id,
+                order.task_id,
+                order.run,
+                order.token,
+                order.incarnation,
+                order.percent,
+                outcome,
+            ),
+        )
--- a/standins/mimosaridge_fakes/jobchecks.py
+++ b/standins/mimosaridge_fakes/jobchecks.py
@@ -25,6 +25,8 @@
 CALM_S = 4.0
 # A standing task may be down for this time before it counts as starved.
 STANDING_RESTART_S = 6.0
+# Backfill may keep a serving task above its target for this time.
+HARM_S = 4.0
 # Interval at which starvation is looked for.
 STARVATION_INTERVAL_S = 0.1
 
@@ -42,6 +44,8 @@
         reported: Jobs and standing tasks reported as starved.
         seen_running_at: When each standing task last ran.
         next_starvation_at: Time of the next look for starvation.
+        disturbed_since: Since when backfill has kept a serving task above its
+            target, by task and worker.
     """
 
     def __init__(self, cluster: "jobclusters.Cluster") -> None:
@@ -53,6 +57,7 @@
         self.reported: set[str] = set()
         self.seen_running_at: dict[str, float] = {}
         self.next_starvation_at = 0.0
+        self.disturbed_since: dict[tuple[str, str], float] = {}
 
     def note_disruption(self) -> None:
         """Records that something was disrupted now."""
@@ -160,6 +165,26 @@
         if is_calm and job_id not in self.cluster.cancelled:
             self.violations.append(f"GANG {task_id} run {run} ended alone")
 
+    def check_harm(self) -> None:
+        """Records serving tasks that backfill keeps above their targets."""
+        cluster = self.cluster
+        disturbed = {
+            (run.task_id, worker.entry.worker_id)
+            for worker in cluster.workers.values()
+            if worker.is_up
+            for run in worker.running.values()
+            if run.target_ms and worker.tail_ms(run) > run.target_ms
+        }
+        if not self.is_calm():
+            disturbed = set()
+        for key in self.disturbed_since.keys() - disturbed:
+            del self.disturbed_since[key]
+        for key in disturbed:
+            since = self.disturbed_since.setdefault(key, cluster.now)
+            if cluster.now - since >= HARM_S:
+                self.disturbed_since[key] = math.inf
+                self.violations.append(f"HARM {key[0]} on {key[1]}")
+
     def check_starvation(self) -> None:
         """Records jobs and standing tasks that could run and don't."""
         cluster = self.cluster
--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -415,6 +415,7 @@
                 self.checks.note_disruption()
             self.checks.twice.check_running()
             self.checks.check_starvation()
+            self.checks.check_harm()
 
     def _is_disrupted(self) -> bool:
         owner = self.owner_number
@@ -466,7 +467,7 @@
         """Executes an effect of a daemon."""
         if isinstance(effect, effects.Start):
             self.starts.append(effect)
-        if isinstance(effect, effects.Hold | effects.Start | effects.Stop):
+        if isinstance(effect, jobcalls.Order):
             self.calls.send(number, effect)
         elif isinstance(effect, effects.WriteProgress):
             self.store.write(number, effect)
--- a/standins/mimosaridge_fakes/jobworkers.py
+++ b/standins/mimosaridge_fakes/jobworkers.py
@@ -9,6 +9,8 @@
 from mimosaridge_core.jobs import model
 
 STOP_S = 0.1
+# Tail of a serving run that nothing disturbs, as a share of its target.
+UNDISTURBED_TAIL = 0.5
 # Most ended runs in one answer, as the platform's protocol says.
 ENDS_PER_ANSWER = 500
 
@@ -27,6 +29,9 @@
         duration_s: Its total run time, in seconds.
         started_at: When it started, in seconds.
         team_needs: Resources that count against its team's upper limit.
+        target_ms: Its latency target, in milliseconds; 0 for none.
+        fills: Whether it is backfill.
+        pace: Percentage of its full speed at which it works.
     """
 
     task_id: str
@@ -37,6 +42,9 @@
     duration_s: float = 1.0
     started_at: float = 0.0
     team_needs: resources.Resources = resources.ZERO
+    target_ms: int = 0
+    fills: bool = False
+    pace: int = 100
 
     def percent(self, now: float) -> int:
         """Returns its progress in percent."""
@@ -69,6 +77,8 @@
         longest_lease_s: Longest lease that it grants, in seconds.
         ends_per_answer: Most ended runs that it lists in one answer.
         clock_zero: Time at which its clock showed 0, in seconds.
+        disturbance: Share of their targets by which a backfill run at full
+            speed raises the tails of its other runs.
     """
 
     entry: model.WorkerEntry
@@ -90,6 +100,7 @@
     longest_lease_s: float = 6.0
     ends_per_answer: int = ENDS_PER_ANSWER
     clock_zero: float = 0.0
+    disturbance: float = 0.8
 
     def clock_ms(self, now: float) -> int:
         """Returns what its clock shows, in milliseconds."""
@@ -111,12 +122,29 @@
         """Returns what its runs use of its capacity."""
         return resources.total([run.needs for run in self.running.values()])
 
+    def load(self, run: Running) -> float:
+        """Returns a run's tail in milliseconds, or its use in millicores."""
+        if run.target_ms:
+            return self.tail_ms(run)
+        return run.team_needs.cpu_millis * run.pace / 100
+
+    def tail_ms(self, run: Running) -> float:
+        """Returns a serving run's tail, which backfill beside it raises."""
+        speed = sum(
+            other.pace / 100 for other in self.running.values() if other.fills
+        )
+        return run.target_ms * (UNDISTURBED_TAIL + self.disturbance * speed)
+
     def advance(self, now: float) -> None:
         """Ends runs that are due, or all of them if the lease has expired."""
         if self.is_hanging:
             for run in self.running.values():
                 if run.outcome != model.RunOutcome.STOPPED:
                     run.ends_at += now - self.advanced_at
+        for run in self.running.values():
+            if run.outcome != model.RunOutcome.STOPPED:
+                resting_share = 1 - run.pace / 100
+                run.ends_at += (now - self.advanced_at) * resting_share
         self.advanced_at = now
         if now >= self.lease_until:
             self.lapsed_at = now
@@ -156,7 +184,9 @@
             row for row in self.ended if row.number > order.acknowledged_end
         ]
         running = tuple(
-            model.RunReport(run.task_id, run.run, "", run.percent(now))
+            model.RunReport(
+                run.task_id, run.run, "", run.percent(now), self.load(run)
+            )
             for run in self.running.values()
         )
         ended = tuple(self.ended[: self.ends_per_answer])
@@ -188,6 +218,17 @@
         self.running[(order.task_id, order.run)] = run
         return events.CallResult.DONE
 
+    def pace(self, order: effects.Pace) -> events.CallResult:
+        """Executes an order to change the speed of a run."""
+        if order.token < self.token:
+            return events.CallResult.FENCED
+        self.token = order.token
+        run = self.running.get((order.task_id, order.run))
+        if run is None:
+            return events.CallResult.REFUSED
+        run.pace = order.percent
+        return events.CallResult.DONE
+
     def stop(self, order: effects.Stop, now: float) -> events.CallResult:
         """Executes a stop; the run ends within `STOP_S` seconds."""
         if order.token < self.token:
--- a/tests/daemon/jobs/test_routing.py
+++ b/tests/daemon/jobs/test_routing.py
@@ -214,11 +214,16 @@
 
     def test_orders_and_answers_survive_the_codec(self):
         codec.register_messages(messages.ALL)
-        orders = messages.WorkerOrders.of([(1, _hold()), (2, _start())])
+        pace = effects.Pace("w1", "10.0.0.1:80", TOKEN, "j.0.0.0", 1, 20, 2)
+        orders = messages.WorkerOrders.of(
+            [(1, _hold()), (2, _start()), (3, pace)]
+        )
+        self.assertEqual(3, len(orders.all()))
         answers = messages.WorkerAnswers.of(
             [
                 (1, workerlinks.answer_to(_hold(), events.CallResult.UNKNOWN)),
                 (2, workerlinks.answer_to(_start(), events.CallResult.FENCED)),
+                (3, workerlinks.answer_to(pace, events.CallResult.DONE)),
             ]
         )
         for message in (orders, answers):
--- a/tests/daemon/jobs/test_workerlinks.py
+++ b/tests/daemon/jobs/test_workerlinks.py
@@ -11,6 +11,7 @@
     "w1", "10.0.0.1:80", 7, "j.0.0.0", 70_001, "text", "", "", 9_000, 2
 )
 STOP = effects.Stop("w1", "10.0.0.1:80", 7, "j.0.0.0", 70_001, 2)
+PACE = effects.Pace("w1", "10.0.0.1:80", 7, "j.0.0.0", 70_001, 20, 2)
 
 
 class RepeatedOrderTest(testtools.TestCase):
@@ -44,9 +45,10 @@
         ):
             self.assertEqual([result] * 2, self._results(START, result))
 
-    def test_a_refused_repeated_stop_is_passed_on(self):
+    def test_a_refused_repeated_stop_or_pace_is_passed_on(self):
         refused = events.CallResult.REFUSED
-        self.assertEqual([refused] * 2, self._results(STOP, refused))
+        for order in (STOP, PACE):
+            self.assertEqual([refused] * 2, self._results(order, refused))
 
     def test_a_repeated_hold_does_not_wait_and_is_marked(self):
         posted, made = [], []
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -179,21 +179,32 @@
         )
         self.assertEqual("w", request.headers["X-Expected-Instance"])
 
-    def test_extra_columns_of_running_rows_are_ignored(self):
+    def test_further_columns_of_running_rows_are_ignored(self):
         body = json.dumps(
             {
                 "clockMs": 5,
                 "born": 2,
-                "running": [["j.0.0.0", 1, "c", 40, 12]],
+                "running": [["j.0.0.0", 1, "c", 40, 12, 7]],
                 "ended": [[3, "j.0.0.1", 1, "done", ""]],
             }
         ).encode()
         answer = workercalls.decode_hold_answer(body)
         self.assertEqual(
-            model.RunReport("j.0.0.0", 1, "c", 40), answer.running[0]
+            model.RunReport("j.0.0.0", 1, "c", 40, 12.0), answer.running[0]
         )
         self.assertEqual(3, answer.ended[0].number)
 
+    def test_pace_request_has_the_percentage(self):
+        request = workercalls.pace(
+            effects.Pace("w", "10.0.0.1:80", 7, "j.0.0.1", 3, 20, 5)
+        )
+        self.assertEqual("/v1/pace", request.path)
+        self.assertEqual(
+            {"task": "j.0.0.1", "run": 3, "percent": 20, "fencingToken": 7},
+            json.loads(request.body),
+        )
+        self.assertEqual("w", request.headers["X-Expected-Instance"])
+
     @given(JSON)
     def test_malformed_registration_is_rejected(self, value):
         body = json.dumps(value).encode()
--- a/tests/platform/test_odd_answers.py
+++ b/tests/platform/test_odd_answers.py
@@ -54,9 +54,21 @@
             oddvalues.encode(_with_column("running", 2, None))
         )
         self.assertEqual(
-            (model.RunReport("j.0.1.17", 2, "", 41.0),), answer.running
+            (model.RunReport("j.0.1.17", 2, "", 41.0, 7.0),), answer.running
         )
 
+    def test_load_that_is_missing_or_no_number_counts_as_none(self):
+        for value in (*oddvalues.OTHER_TYPES, "5", -1, 10**400, float("nan")):
+            fields = _with_column("running", 4, value)
+            answer = workercalls.decode_hold_answer(oddvalues.encode(fields))
+            is_number = type(value) in (int, float)
+            if not is_number or not 0 <= value <= wiretypes.MAX_AMOUNT:
+                self.assertEqual(0.0, answer.running[0].load)
+        row = LISTS["running"][0][:4]
+        fields = LISTS | {"running": [row]}
+        answer = workercalls.decode_hold_answer(oddvalues.encode(fields))
+        self.assertEqual(0.0, answer.running[0].load)
+
     def test_number_out_of_range_is_malformed(self):
         for value in oddvalues.NUMBERS:
             for name in ("clockMs", "born"):
