Let serving tasks and backfill share workers when one would starve

Cause: fitting.interferes kept the two kinds apart without a bound on the wait. Tickets, team limits and reservations are ruled out by step-waits, which now also tells a worker without room from one that must not be shared.

Tasks that last may do so however full their back end is, since that is what users are owed.

--- a/packages/core/mimosaridge_core/jobs/fitting.py
+++ b/packages/core/mimosaridge_core/jobs/fitting.py
@@ -12,8 +12,8 @@
 
     Tasks that end are packed onto the fullest worker, which keeps whole workers
     free. Standing tasks are spread onto the emptiest, except those with a
-    latency target: packing these leaves workers to tasks that fill. A worker on
-    which a task has failed comes last.
+    latency target: packing these leaves workers to tasks that fill. Workers
+    that have to be shared come late, and last those on which tasks have failed.
 
     The worker chosen for one task mostly stays the best for the next, so the
     workers are kept in a heap: each further task costs a logarithm of their
@@ -25,6 +25,7 @@
         group: state.Group,
         workers: list[state.Worker],
         reserved: set[str],
+        may_share: bool = False,
     ) -> None:
         self.group = group
         self.needs = work.reserved_resources(group.step)
@@ -33,7 +34,7 @@
             worker.entry.worker_id: worker
             for worker in workers
             if worker.entry.worker_id not in reserved
-            and not interferes(group, worker)
+            and (may_share or not interferes(group, worker))
         }
         self.heap: list[tuple] = []
         for worker in self.workers.values():
@@ -80,6 +81,7 @@
             return None
         return (
             worker.failures > 0,
+            interferes(group, worker),
             bool(group.step.rack) and group.step.rack != worker.rack,
             -after if self.is_spread else after,
             worker.entry.worker_id,
@@ -113,6 +115,7 @@
     workers: list[state.Worker],
     reserved: set[str],
     count: int,
+    may_share: bool = False,
 ) -> list[state.Worker] | None:
     """Returns a worker for each task of a gang; None if they don't all fit."""
     needs = work.reserved_resources(group.step)
@@ -122,11 +125,14 @@
         workers,
         key=lambda worker: (
             worker.failures > 0,
+            interferes(group, worker),
             worker.entry.capacity.cpu_millis - worker.used.cpu_millis,
         ),
     )
     for worker in ordered:
-        if worker.entry.worker_id in reserved or interferes(group, worker):
+        if worker.entry.worker_id in reserved:
+            continue
+        if interferes(group, worker) and not may_share:
             continue
         available = worker.entry.capacity - worker.used
         added = 0
@@ -140,17 +146,21 @@
 
 
 def could_start(
-    group: state.Group, workers: list[state.Worker], reserved: set[str]
+    group: state.Group,
+    workers: list[state.Worker],
+    reserved: set[str],
+    may_share: bool = False,
 ) -> bool:
     """Returns whether one waiting task, or the whole gang, has room now."""
     if group.step.gang:
         count = len(group.waiting)
-        return assign_gang(group, workers, reserved, count) is not None
+        assigned = assign_gang(group, workers, reserved, count, may_share)
+        return assigned is not None
     needs = work.reserved_resources(group.step)
     return any(
         worker.entry.worker_id not in reserved
         and fraction_left(worker, needs) is not None
-        and not interferes(group, worker)
+        and (may_share or not interferes(group, worker))
         and is_below_worker_limit(group, worker.entry.worker_id)
         for worker in workers
     )
@@ -160,7 +170,8 @@
     """Returns whether tasks that fill would share a worker with serving ones.
 
     The interference between them is not known in advance and changes within
-    seconds; on separate workers there is none.
+    seconds; on separate workers there is none. Only steps that would starve
+    otherwise may share workers; `sharing` limits the harm.
     """
     if group.step.fills:
         return worker.serving > 0
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -251,8 +251,9 @@
 ) -> bool:
     """Places a starved step as far as it is owed.
 
-    It may use reserved workers and, if it finds room on none of these, those on
-    which runs have failed.
+    It may use reserved workers, then those that backfill and serving tasks have
+    to share and, if it finds room on none of these, those on which runs have
+    failed.
 
     Args:
         st: The state.
@@ -269,20 +270,28 @@
     backend = backend_of(st, entry)
     startable = current.startable.get(backend, {})
     reserved = current.reserved
+    is_starved = starvation.is_starved(st, owner, group, backend, startable)
+    may_share = starvation.may_share(st, owner, group, backend, startable)
     options = []
-    if reserved and starvation.is_starved(st, owner, group, backend, startable):
+    if reserved and is_starved:
         reserved = set()
         options.append(workers)
+    if may_share and not options:
+        options.append(workers)
     if _is_owed_failing_workers(st, owner, current, group, backend):
         options.append(_approved_workers(st, current, group, startable, False))
     waiting = len(group.waiting)
     for option in options:
         if group.step.gang:
-            _place_gang(st, owner, entry, group, option, reserved, out)
+            _place_gang(
+                st, owner, entry, group, option, reserved, out, may_share
+            )
         else:
             # One task that ends is enough: the others wait for other workers.
             most = waiting if group.step.standing else 1
-            _place_each(st, owner, entry, group, option, reserved, out, most)
+            _place_each(
+                st, owner, entry, group, option, reserved, out, may_share, most
+            )
         started = waiting - len(group.waiting)
         if started:
             starvation.count_starts(owner, group, backend, started)
@@ -406,7 +415,8 @@
     reserved = current.reserved
     if reserved and starvation.is_starved(st, owner, group, backend, startable):
         reserved = set()
-    return fitting.could_start(group, workers, reserved)
+    may_share = starvation.may_share(st, owner, group, backend, startable)
+    return fitting.could_start(group, workers, reserved, may_share)
 
 
 def _place_each(
@@ -417,6 +427,7 @@
     workers: list[state.Worker],
     reserved: set[str],
     out: list,
+    may_share: bool = False,
     most: int | None = None,
 ) -> bool:
     """Starts each task that fits; returns whether none is left waiting.
@@ -429,13 +440,14 @@
         workers: Workers on which its tasks may run.
         reserved: Workers that it must not use.
         out: Effects.
+        may_share: Whether backfill and serving tasks may share a worker.
         most: Most tasks to start; None for all.
     """
     allowed = teamlimits.allowed_tasks(
         st, owner, entry, group.step.needs, len(group.waiting)
     )
     group.is_limited = allowed < len(group.waiting)
-    chooser = fitting.Chooser(group, workers, reserved)
+    chooser = fitting.Chooser(group, workers, reserved, may_share)
     for index in sorted(group.waiting)[:allowed][:most]:
         worker = chooser.choose(index)
         if worker is None:
@@ -453,6 +465,7 @@
     workers: list[state.Worker],
     reserved: set[str],
     out: list,
+    may_share: bool = False,
 ) -> bool:
     """Starts all tasks of a gang at once, or none."""
     indexes = sorted(group.waiting)
@@ -470,7 +483,9 @@
             for name in names
         ] + [workers]
     for option in options:
-        assigned = fitting.assign_gang(group, option, reserved, len(indexes))
+        assigned = fitting.assign_gang(
+            group, option, reserved, len(indexes), may_share
+        )
         if assigned is not None:
             run = starting.next_run_number(owner)
             for index, worker in zip(indexes, assigned, strict=True):
--- a/packages/core/mimosaridge_core/jobs/starvation.py
+++ b/packages/core/mimosaridge_core/jobs/starvation.py
@@ -1,6 +1,7 @@
 """Decides when a step may start on workers that are withheld from it.
 
-These are reserved for more urgent steps, or runs have failed there.
+These are reserved for more urgent steps, runs have failed there, or backfill
+and serving tasks would share them.
 
 Users are owed that a job doesn't have nothing running for 3 s while there is
 room for it and less than half of the service's capacity is in use. A worker
@@ -64,9 +65,7 @@
     use = owner.backend_use.get(backend)
     if use is None or st.now - use.at >= USE_INTERVAL_S:
         use = owner.backend_use[backend] = _backend_use(st, pool, use)
-    if not group.blocked_since:
-        return False
-    if st.now - group.blocked_since < patience_s:
+    if not has_waited(st, group, patience_s):
         return False
     needs = work.reserved_resources(group.step)
     needed = [name for name in resources.NAMES if getattr(needs, name)]
@@ -75,6 +74,38 @@
     )
 
 
+def may_share(
+    st: state.State,
+    owner: state.Owner,
+    group: state.Group,
+    backend: str,
+    pool: dict[str, state.Worker],
+) -> bool:
+    """Returns whether backfill and serving tasks may share a worker for a step.
+
+    A standing step is owed room however full its back end is.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        group: The step.
+        backend: Name of its back end.
+        pool: Workers of the back end that can take starts, by id; with those on
+            which runs have failed.
+    """
+    if not group.step.fills and not group.step.target_ms:
+        return False
+    if is_starved(st, owner, group, backend, pool):
+        return True
+    return group.step.standing and has_waited(st, group, PATIENCE_S)
+
+
+def has_waited(st: state.State, group: state.Group, patience_s: float) -> bool:
+    """Returns whether a step has been without room for a time, seconds."""
+    since = group.blocked_since
+    return since > 0 and st.now - since >= patience_s
+
+
 def count_starts(
     owner: state.Owner, group: state.Group, backend: str, tasks: int
 ) -> None:
--- a/packages/core/mimosaridge_core/jobs/waiting.py
+++ b/packages/core/mimosaridge_core/jobs/waiting.py
@@ -42,6 +42,7 @@
     TEAM_LIMIT = "the team's upper limit"
     NO_TICKET = "no valid ticket"
     NO_ROOM = "no room on a permitted worker"
+    SHARED = "on each worker with room, backfill would disturb serving tasks"
     RESERVED = "the workers with room are reserved for other steps"
     PLACEABLE = "no obstacle"
 
@@ -187,16 +188,22 @@
     if not permitted:
         return WaitReason.NO_TICKET, facts
     needs = work.reserved_resources(group.step)
-    with_room = {
-        worker.entry.worker_id
+    fitting_workers = [
+        worker
         for worker in permitted
         if fitting.fraction_left(worker, needs) is not None
         and fitting.is_below_worker_limit(group, worker.entry.worker_id)
-        and not fitting.interferes(group, worker)
+    ]
+    with_room = {
+        worker.entry.worker_id
+        for worker in fitting_workers
+        if not fitting.interferes(group, worker)
     }
     facts["with_room"] = len(with_room)
-    if not with_room:
+    if not fitting_workers:
         return WaitReason.NO_ROOM, facts
+    if not with_room:
+        return WaitReason.SHARED, facts
     reserving = {
         other.key: sorted(other.reserved & with_room)
         for other in owner.groups.values()
