Raise the fencing token with each incarnation of a worker

A call without an answer was carried out seconds later by the next incarnation of its worker: a start ran beside the task's new run, a hold made the worker forget ends that nobody had read.

Orders now carry the owner's token times a million plus the number of the incarnation; once the next one is held, it refuses all calls for the former. A worker that fences such a call is no sign of another owner; a fenced start counts as unanswered, since an agent may have made it before.

Weighed besides: stopping the runs of unanswered starts anew, and waiting 12 s (docs/design/0063).

Six tests of the simulated cluster named incarnation 0 in orders of their own and name the present one now; two of the wire expect the composed token. tests/core/jobs, tests/daemon/jobs and tests/standins pass.

--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -18,6 +18,26 @@
 STOP_CHECK_INTERVAL_S = 0.1
 
 
+def _is_for_former(
+    worker: state.Worker | None,
+    event: events.StartAnswered | events.StopAnswered,
+) -> bool:
+    """Returns whether a call was meant for a former incarnation.
+
+    This owner's own, higher token for the present one may have fenced it.
+    """
+    return worker is not None and event.incarnation != worker.incarnation
+
+
+def _resign(
+    st: state.State,
+    event: events.StartAnswered | events.StopAnswered,
+    out: list,
+) -> None:
+    if st.owner is not None and event.token == st.owner.token:
+        resigning.resign(st, "a worker accepted a newer fencing token", out)
+
+
 @dispatch.handles(events.StartAnswered)
 def handle_start_answer(
     st: state.State, event: events.StartAnswered, out: list
@@ -27,9 +47,11 @@
     worker = owner.workers.get(event.worker_id) if owner else None
     run = worker.runs.get((event.task_id, event.run)) if worker else None
     if event.result == events.CallResult.FENCED:
-        if owner is not None and event.token == owner.token:
-            resigning.resign(st, "a worker accepted a newer fencing token", out)
-        return
+        if not _is_for_former(worker, event):
+            _resign(st, event, out)
+            return
+        # Another call with this order may have been carried out before.
+        event.result = events.CallResult.UNKNOWN
     if run is None:
         return
     is_unknown = event.result == events.CallResult.UNKNOWN
@@ -93,8 +115,8 @@
     worker = owner.workers.get(event.worker_id) if owner else None
     run = worker.runs.get((event.task_id, event.run)) if worker else None
     if event.result == events.CallResult.FENCED:
-        if owner is not None and event.token == owner.token:
-            resigning.resign(st, "a worker accepted a newer fencing token", out)
+        if not _is_for_former(worker, event):
+            _resign(st, event, out)
         return
     if run is None or event.incarnation != worker.incarnation:
         # Another incarnation may still take the start. The stop is repeated.
--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -202,13 +202,14 @@
     worker = owner.workers.get(event.worker_id) if owner else None
     if worker is None or event.token != owner.token:
         return
-    if event.result == events.CallResult.FENCED:
-        resigning.resign(st, "a worker accepted a newer fencing token", out)
-        return
     if event.incarnation != worker.incarnation:
-        # The hold for the present incarnation is in flight or due.
+        # The hold for the present incarnation is in flight or due, and its
+        # higher token may have fenced this one.
         worker.former_holds.discard(event.incarnation)
         return
+    if event.result == events.CallResult.FENCED:
+        resigning.resign(st, "a worker accepted a newer fencing token", out)
+        return
     worker.hold_open = False
     is_answered = event.result != events.CallResult.UNKNOWN
     leases.settle_renewal(worker, is_answered and not event.is_repeated)
--- a/packages/core/mimosaridge_core/jobs/sharing.py
+++ b/packages/core/mimosaridge_core/jobs/sharing.py
@@ -159,12 +159,14 @@
     owner = st.owner
     if owner is None or event.token != owner.token:
         return
+    worker = owner.workers.get(event.worker_id)
+    if worker is None or event.incarnation != worker.incarnation:
+        return
     if event.result == events.CallResult.FENCED:
         resigning.resign(st, "a worker accepted a newer fencing token", out)
         return
-    worker = owner.workers.get(event.worker_id)
-    run = worker.runs.get((event.task_id, event.run)) if worker else None
-    if run is None or event.incarnation != worker.incarnation:
+    run = worker.runs.get((event.task_id, event.run))
+    if run is None:
         return
     is_done = event.result == events.CallResult.DONE
     run.pace = event.percent if is_done else None
--- a/packages/daemon/mimosaridge_daemon/jobs/agentcalls.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/agentcalls.py
@@ -6,6 +6,7 @@
 import gevent
 
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import fencing
 from mimosaridge_daemon.jobs import messages
 from mimosaridge_daemon.jobs import telemetry
 from mimosaridge_daemon.jobs import workerlinks
@@ -48,7 +49,7 @@
                 "orders-refused", owner=sender, orders=refused, newest=newest
             )
 
-    def _call(self, sender: str, number: int, order: workerlinks.Order) -> None:
+    def _call(self, sender: str, number: int, order: fencing.Order) -> None:
         self._collect(sender, number, self.links.call(order))
 
     def _collect(
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -15,6 +15,7 @@
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import election
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import fencing
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import reducer
 from mimosaridge_core.jobs import state
@@ -328,7 +329,7 @@
             self.effect_handlers[type(effect)](effect)
         except Exception:
             guarding.record("effect", effect=type(effect).__name__)
-            if isinstance(effect, workerlinks.Order):
+            if isinstance(effect, fencing.Order):
                 self.post(
                     workerlinks.answer_to(effect, events.CallResult.UNKNOWN)
                 )
--- a/packages/daemon/mimosaridge_daemon/jobs/routing.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/routing.py
@@ -17,6 +17,7 @@
 from mimosaridge_core.jobs import agents
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import fencing
 from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import messages
 from mimosaridge_daemon.jobs import telemetry
@@ -52,7 +53,7 @@
         due_at: When its answer is given up.
     """
 
-    order: workerlinks.Order
+    order: fencing.Order
     agent: str
     sent_at: float
     due_at: float
@@ -83,7 +84,7 @@
         self.agents: dict[str, tuple[str, ...]] = {}
         self.agent_by_worker: dict[str, str | None] = {}
         self.pending: dict[int, PendingOrder] = {}
-        self.batches: dict[str, list[tuple[int, workerlinks.Order]]] = {}
+        self.batches: dict[str, list[tuple[int, fencing.Order]]] = {}
         self.heard_at: dict[str, float] = {}
         self.failed_until: dict[str, float] = {}
         self.direct_until: dict[str, float] = {}
@@ -103,7 +104,7 @@
         """Returns whether an agent has failed recently."""
         return self.failed_until.get(name, 0.0) > time.monotonic()
 
-    def give(self, order: workerlinks.Order) -> None:
+    def give(self, order: fencing.Order) -> None:
         """Sends an order: directly now, or to an agent with the next flush.
 
         An order of an ownership that has ended is dropped: the reducer hears of
@@ -195,7 +196,7 @@
             del self.pending[number]
             self._repeat(pending.order)
 
-    def _repeat(self, order: workerlinks.Order) -> None:
+    def _repeat(self, order: fencing.Order) -> None:
         # Orders of a former ownership are not repeated.
         if order.token == self.token():
             self.links.repeat(order)
--- a/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/workerlinks.py
@@ -10,6 +10,7 @@
 
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import fencing
 from mimosaridge_daemon import clients
 from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import telemetry
@@ -24,7 +25,6 @@
 ORDER_TIMEOUT_S = 0.4
 
 
-Order = effects.Hold | effects.Start | effects.Stop | effects.Pace
 Answer = (
     events.HoldAnswered
     | events.StartAnswered
@@ -40,7 +40,7 @@
 )
 
 
-def timeout_s(order: Order) -> float:
+def timeout_s(order: fencing.Order) -> float:
     """Returns how long a worker may take to answer an order, seconds."""
     if isinstance(order, effects.Hold):
         return order.wait_ms / 1000 + ORDER_TIMEOUT_S
@@ -48,7 +48,7 @@
 
 
 def answer_to(
-    order: Order, result: events.CallResult, detail: str = ""
+    order: fencing.Order, result: events.CallResult, detail: str = ""
 ) -> Answer:
     """Returns the event for an order's answer; a hold's is without lists."""
     now = time.monotonic()
@@ -96,11 +96,11 @@
         self.post = post
         self.clients: dict[str, clients.Client] = {}
 
-    def give(self, order: Order) -> None:
+    def give(self, order: fencing.Order) -> None:
         """Calls a worker and posts its answer; returns at once."""
         gevent.spawn(self._call_and_post, order)
 
-    def repeat(self, order: Order) -> None:
+    def repeat(self, order: fencing.Order) -> None:
         """Calls a worker with an order that an agent may also carry out.
 
         A start that the worker did not carry out this time may already have
@@ -111,10 +111,10 @@
             order = dataclasses.replace(order, wait_ms=0)
         gevent.spawn(self._repeat_and_post, order)
 
-    def _call_and_post(self, order: Order) -> None:
+    def _call_and_post(self, order: fencing.Order) -> None:
         self.post(self.call(order))
 
-    def _repeat_and_post(self, order: Order) -> None:
+    def _repeat_and_post(self, order: fencing.Order) -> None:
         answer = self.call(order)
         if isinstance(order, effects.Hold | effects.Start):
             answer.is_repeated = True
@@ -122,7 +122,7 @@
             answer.result = events.CallResult.UNKNOWN
         self.post(answer)
 
-    def call(self, order: Order) -> Answer:
+    def call(self, order: fencing.Order) -> Answer:
         """Calls a worker and returns its answer, or the failure.
 
         After an exception the order counts as one without answer, which may
@@ -136,7 +136,7 @@
                 order, events.CallResult.UNKNOWN, "failed in this daemon"
             )
 
-    def _call(self, order: Order) -> Answer:
+    def _call(self, order: fencing.Order) -> Answer:
         if isinstance(order, effects.Hold):
             return self._hold(order)
         if isinstance(order, effects.Start):
--- a/standins/mimosaridge_fakes/jobcalls.py
+++ b/standins/mimosaridge_fakes/jobcalls.py
@@ -8,6 +8,7 @@
 
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import fencing
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import work
 from mimosaridge_fakes import jobfaults
@@ -20,11 +21,10 @@
 # An unanswered call fails after this time.
 CALL_TIMEOUT_S = 0.8
 
-Order = effects.Hold | effects.Start | effects.Stop | effects.Pace
 # Executes an order of a daemon, sent at a time, on a worker, or on none if the
 # call times out; returns what delivers the answer.
 Execution = Callable[
-    [int, Order, float, jobworkers.Worker | None], Callable[[], None]
+    [int, fencing.Order, float, jobworkers.Worker | None], Callable[[], None]
 ]
 
 
@@ -38,7 +38,7 @@
     def __init__(self, cluster: "jobclusters.Cluster") -> None:
         self.cluster = cluster
 
-    def send(self, number: int, order: Order) -> None:
+    def send(self, number: int, order: fencing.Order) -> None:
         """Sends an order of a daemon to the worker that it names."""
         if isinstance(order, effects.Hold):
             self._call(number, order, self.hold)
@@ -49,7 +49,9 @@
         else:
             self._call(number, order, self.stop)
 
-    def _call(self, number: int, order: Order, execute: Execution) -> None:
+    def _call(
+        self, number: int, order: fencing.Order, execute: Execution
+    ) -> None:
         """Calls a worker; the call may be late or its answer lost."""
         cluster = self.cluster
         sent_at = cluster.now
@@ -89,7 +91,7 @@
         delay_s = CALL_DELAY_S
         is_long_poll = isinstance(order, effects.Hold) and order.wait_ms
         # A worker answers a call with an older token at once.
-        if is_long_poll and order.token >= worker.token:
+        if is_long_poll and fencing.token_of(order) >= worker.token:
             # The lease starts when the call arrives; the lists of runs are
             # those at the end of the wait.
             cluster.schedule(
@@ -111,7 +113,7 @@
             worker = self.cluster.workers[worker.entry.worker_id]
         return worker if worker.is_up else None
 
-    def _late(self, order: Order, delay_s: float) -> Order:
+    def _late(self, order: fencing.Order, delay_s: float) -> fencing.Order:
         """Returns an order as it arrives after a delay."""
         if not self.cluster.faults.is_late_lease_longer:
             return order
@@ -125,7 +127,7 @@
     def _double(
         self,
         number: int,
-        order: Order,
+        order: fencing.Order,
         execute: Execution,
         worker: jobworkers.Worker,
     ) -> None:
--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -15,6 +15,7 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import fencing
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import reducer
 from mimosaridge_core.jobs import state
@@ -467,7 +468,7 @@
         """Executes an effect of a daemon."""
         if isinstance(effect, effects.Start):
             self.starts.append(effect)
-        if isinstance(effect, jobcalls.Order):
+        if isinstance(effect, fencing.Order):
             self.calls.send(number, effect)
         elif isinstance(effect, effects.WriteProgress):
             self.store.write(number, effect)
--- a/standins/mimosaridge_fakes/jobworkers.py
+++ b/standins/mimosaridge_fakes/jobworkers.py
@@ -6,6 +6,7 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import fencing
 from mimosaridge_core.jobs import model
 
 STOP_S = 0.1
@@ -169,6 +170,14 @@
         until = self.time_of(order.lease_until_ms)
         return min(until, now + self.longest_lease_s)
 
+    def accepts(self, order: fencing.Order) -> bool:
+        """Returns whether no higher token was seen; keeps the highest."""
+        token = fencing.token_of(order)
+        if token < self.token:
+            return False
+        self.token = token
+        return True
+
     def hold(
         self, order: effects.Hold, now: float
     ) -> tuple[events.CallResult, tuple, tuple]:
@@ -176,9 +185,8 @@
 
         Only the first ended runs that are not acknowledged are returned.
         """
-        if order.token < self.token:
+        if not self.accepts(order):
             return events.CallResult.FENCED, (), ()
-        self.token = order.token
         self.lease_until = max(self.lease_until, self.granted_until(order, now))
         self.ended = [
             row for row in self.ended if row.number > order.acknowledged_end
@@ -200,9 +208,8 @@
         has_ticket: bool = True,
     ) -> events.CallResult:
         """Executes a start; also one that it refuses may extend the lease."""
-        if order.token < self.token:
+        if not self.accepts(order):
             return events.CallResult.FENCED
-        self.token = order.token
         if (order.task_id, order.run) in self.running:
             return events.CallResult.DONE
         start_before = self.time_of(order.start_before_ms)
@@ -220,9 +227,8 @@
 
     def pace(self, order: effects.Pace) -> events.CallResult:
         """Executes an order to change the speed of a run."""
-        if order.token < self.token:
+        if not self.accepts(order):
             return events.CallResult.FENCED
-        self.token = order.token
         run = self.running.get((order.task_id, order.run))
         if run is None:
             return events.CallResult.REFUSED
@@ -231,9 +237,8 @@
 
     def stop(self, order: effects.Stop, now: float) -> events.CallResult:
         """Executes a stop; the run ends within `STOP_S` seconds."""
-        if order.token < self.token:
+        if not self.accepts(order):
             return events.CallResult.FENCED
-        self.token = order.token
         self.closed[order.task_id] = max(
             order.run, self.closed.get(order.task_id, 0)
         )
--- a/tests/core/jobs/test_twice_check.py
+++ b/tests/core/jobs/test_twice_check.py
@@ -33,13 +33,16 @@
             worker_id=other,
             run=first.run + 1,
             start_before_ms=int(world.now * 1000) + 1000,
+            incarnation=world.daemons[0].owner.workers[other].incarnation,
         )
         world.calls.start_run(order, world.workers[other])
         return first
 
     def _acknowledge(self, world, first):
         address = world.workers[first.worker_id].entry.address
-        hold = effects.Hold(first.worker_id, address, first.token, 1, 0, 0, 0)
+        hold = effects.Hold(
+            first.worker_id, address, first.token, 1, 0, 0, first.incarnation
+        )
         world.execute(0, hold)
         world.run(0.05)
 
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -164,7 +164,7 @@
 
     def test_start_request_omits_unset_fields(self):
         order = effects.Start(
-            "w", "ip:1", 7, "j.0.0.1", 3, "text", "", "", 9, 0
+            "w", "ip:1", 7, "j.0.0.1", 3, "text", "", "", 9, 5
         )
         request = workercalls.start(order)
         self.assertEqual(
@@ -173,7 +173,7 @@
                 "run": 3,
                 "taskSpec": "text",
                 "deadlineMs": 9,
-                "fencingToken": 7,
+                "fencingToken": 7_000_005,
             },
             json.loads(request.body),
         )
@@ -200,7 +200,12 @@
         )
         self.assertEqual("/v1/pace", request.path)
         self.assertEqual(
-            {"task": "j.0.0.1", "run": 3, "percent": 20, "fencingToken": 7},
+            {
+                "task": "j.0.0.1",
+                "run": 3,
+                "percent": 20,
+                "fencingToken": 7_000_005,
+            },
             json.loads(request.body),
         )
         self.assertEqual("w", request.headers["X-Expected-Instance"])
--- a/tests/standins/test_jobchecks.py
+++ b/tests/standins/test_jobchecks.py
@@ -1,5 +1,7 @@
 """The simulated cluster records what violates the scheduling rules."""
 
+import dataclasses
+
 import testtools
 
 from mimosaridge_core import resources
@@ -20,6 +22,12 @@
     return world
 
 
+def _incarnation(world, worker_id):
+    """Returns the incarnation that an order of the owner names."""
+    owner = world.daemons[0].owner
+    return owner.workers[worker_id].incarnation if owner else 0
+
+
 def _start(world, index, worker_id="w0", ticket="", step=0):
     """Orders a start as the daemon with the latest token would."""
     start = effects.Start(
@@ -32,7 +40,7 @@
         "",
         ticket,
         int((world.now + 1.5) * 1000),
-        0,
+        _incarnation(world, worker_id),
     )
     world.execute(0, start)
     world.run(0.1)
@@ -226,8 +234,12 @@
 
     def test_a_hold_with_an_older_token_is_answered_at_once(self):
         world = self._owned()
-        world.workers["w0"].token = world.owner_revision + 1
-        hold = effects.Hold("w0", "w0:80", world.owner_revision, 0, 0, 1200, 0)
+        incarnation = _incarnation(world, "w0")
+        hold = effects.Hold(
+            "w0", "w0:80", world.owner_revision, 0, 0, 1200, incarnation
+        )
+        newer = dataclasses.replace(hold, token=world.owner_revision + 1)
+        world.workers["w0"].accepts(newer)
         world.execute(0, hold)
         world.run(2 * jobclusters.TICK_S)
         self.assertIsNone(world.daemons[0].owner)
@@ -249,7 +261,13 @@
         world.execute(
             0,
             effects.Hold(
-                "w0", "w0:80", 11, 0, int((sent_at + 4.0) * 1000), 0, 0
+                "w0",
+                "w0:80",
+                world.owner_revision,
+                0,
+                int((sent_at + 4.0) * 1000),
+                0,
+                _incarnation(world, "w0"),
             ),
         )
         world.workers["w0"].lease_until = 0.0
