Count a job as begun only once a worker has begun one of its tasks

Cause: the job was marked as running when the start was sent. It is now marked when the worker confirms the start or lists the run or its end.

test_a_job_whose_starts_are_refused_is_still_pending failed before (queued against running).

--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -74,6 +74,7 @@
         if run.phase == state.Phase.STARTING:
             run.phase = state.Phase.RUNNING
             run.acknowledged_at = st.now
+        runs.mark_begun(st, owner, event.task_id)
     elif event.result == events.CallResult.UNKNOWN:
         stopping.stop(st, owner, worker, run, "start was not answered", out)
     elif event.result == events.CallResult.OTHER_INCARNATION:
--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -318,6 +318,8 @@
         if run.phase == state.Phase.STARTING:
             run.phase = state.Phase.RUNNING
             run.acknowledged_at = st.now
+        if not run.is_listed:
+            runs.mark_begun(st, owner, run.task_id)
         run.is_listed = True
         run.saved = row.saved
         run.percent = row.percent
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -82,6 +82,13 @@
     _attach(st, owner, worker, run, out)
 
 
+def mark_begun(st: state.State, owner: state.Owner, task_id: str) -> None:
+    """Records that a run of a task has begun on its worker."""
+    location = _locate_task(st, task_id)
+    if location is not None and location[0].job.job_id in owner.jobs:
+        work.mark_started(st, owner, location[0])
+
+
 def recognize(
     st: state.State, owner: state.Owner, job_id: str, out: list
 ) -> None:
@@ -240,6 +247,8 @@
         _remove_from_group(group, index, run)
     if entry.job.job_id not in owner.jobs:
         return
+    if evidence == EndEvidence.LISTED:
+        work.mark_started(st, owner, entry)
     step = entry.job.steps[number]
     if run is None and row.how != model.RunOutcome.LAPSED:
         _log_duplicate(group, index, row, worker.entry.worker_id, out)
--- a/packages/core/mimosaridge_core/jobs/starting.py
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -53,7 +53,6 @@
     sharing.begin(st, worker, run)
     group.runs.setdefault(index, []).append(run)
     group.waiting.discard(index)
-    work.mark_started(st, owner, entry)
     start_before_ms = leases.clock_ms(st, worker) + tunables.START_WINDOW_MS
     leases.extend_by_start(st, worker)
     out.append(
--- a/packages/core/mimosaridge_core/jobs/work.py
+++ b/packages/core/mimosaridge_core/jobs/work.py
@@ -164,7 +164,7 @@
 def mark_started(
     st: state.State, owner: state.Owner, entry: state.JobEntry
 ) -> None:
-    """Marks a job as running when one of its tasks is started."""
+    """Marks a job as running once one of its tasks has begun on a worker."""
     if entry.progress.state == model.JobState.QUEUED:
         entry.progress.state = model.JobState.RUNNING
         mark_dirty(owner, entry.job.job_id, st.now + tunables.STARTED_WRITE_S)
