Start tasks that last beside reservations however full their back end is

Cause: starved steps passed over reservations only below 0.6 of the capacity in use. That is not owed to tasks that end above half, but to tasks that last it is. These now pass over them after 2 s, first where the large tasks for which a worker is reserved fit beside them.

test_standing_tasks_start_beside_reservations_however_full_it_is failed before: 0 of 3 started. test_a_standing_task_starts_where_it_blocks_no_reservation fails without the first preference.

--- a/packages/core/mimosaridge_core/jobs/fitting.py
+++ b/packages/core/mimosaridge_core/jobs/fitting.py
@@ -1,5 +1,6 @@
 """Chooses workers with room for tasks; changes nothing."""
 
+from collections import abc
 import heapq
 
 from mimosaridge_core import resources
@@ -24,7 +25,7 @@
         self,
         group: state.Group,
         workers: list[state.Worker],
-        reserved: set[str],
+        reserved: abc.Set[str],
         may_share: bool = False,
     ) -> None:
         self.group = group
@@ -113,7 +114,7 @@
 def assign_gang(
     group: state.Group,
     workers: list[state.Worker],
-    reserved: set[str],
+    reserved: abc.Set[str],
     count: int,
     may_share: bool = False,
 ) -> list[state.Worker] | None:
@@ -148,7 +149,7 @@
 def could_start(
     group: state.Group,
     workers: list[state.Worker],
-    reserved: set[str],
+    reserved: abc.Set[str],
     may_share: bool = False,
 ) -> bool:
     """Returns whether one waiting task, or the whole gang, has room now."""
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -12,8 +12,10 @@
   steps, since suspensions end and objectives come closer.
 """
 
+from collections import abc
 import dataclasses
 
+from mimosaridge_core import resources
 from mimosaridge_core.jobs import advice_calls
 from mimosaridge_core.jobs import fitting
 from mimosaridge_core.jobs import fleets
@@ -51,7 +53,8 @@
         denied_calls_s: Expected durations, in seconds, of the calls for advice
             that have waited too long for an idle daemon.
         reserved: Workers that later, less urgent steps of the pass must not
-            use.
+            use, each with the most that one task of those needs for which it is
+            reserved.
         standing: Standing runs of workers as far as they were needed, by
             worker.
     """
@@ -62,11 +65,20 @@
     examine_interval_s: float
     has_idle_asker: bool
     denied_calls_s: list[float]
-    reserved: set[str] = dataclasses.field(default_factory=set)
+    reserved: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
     standing: dict[str, reserving.StandingRuns] = dataclasses.field(
         default_factory=dict
     )
 
+    def reserve_for(self, group: state.Group) -> None:
+        """Keeps later steps from the workers reserved for a step."""
+        needs = work.reserved_resources(group.step)
+        for worker_id in group.reserved:
+            before = self.reserved.get(worker_id, resources.ZERO)
+            self.reserved[worker_id] = before.at_least(needs)
+
 
 def place_waiting_tasks(st: state.State, owner: state.Owner, out: list) -> None:
     """Starts the waiting tasks that fit, the most urgent first."""
@@ -103,7 +115,7 @@
     for _, key, group in ranked:
         if key in due_keys and st.now >= group.retry_at:
             _place_group(st, owner, current, group, out)
-        current.reserved |= group.reserved
+        current.reserve_for(group)
 
 
 def _examine_interval_s(waiting: int) -> float:
@@ -212,7 +224,8 @@
     is_partial = not is_full and not group.step.gang
     approved = _approved_workers(st, current, group, pool, is_partial)
     place = _place_gang if group.step.gang else _place_each
-    is_placed = place(st, owner, entry, group, approved, current.reserved, out)
+    reserved = current.reserved.keys()
+    is_placed = place(st, owner, entry, group, approved, reserved, out)
     if not is_placed and is_full:
         is_placed = _place_starved(
             st, owner, current, entry, group, approved, out
@@ -269,19 +282,23 @@
     """
     backend = backend_of(st, entry)
     startable = current.startable.get(backend, {})
-    reserved = current.reserved
-    is_starved = starvation.is_starved(st, owner, group, backend, startable)
+    reserved = current.reserved.keys()
     may_share = starvation.may_share(st, owner, group, backend, startable)
     options = []
-    if reserved and is_starved:
-        reserved = set()
-        options.append(workers)
+    if reserved and starvation.may_use_reserved(
+        st, owner, group, backend, startable
+    ):
+        if group.step.standing:
+            options.append((workers, _blocked_by(owner, current, group)))
+        reserved = frozenset()
+        options.append((workers, reserved))
     if may_share and not options:
-        options.append(workers)
+        options.append((workers, reserved))
     if _is_owed_failing_workers(st, owner, current, group, backend):
-        options.append(_approved_workers(st, current, group, startable, False))
+        failing = _approved_workers(st, current, group, startable, False)
+        options.append((failing, reserved))
     waiting = len(group.waiting)
-    for option in options:
+    for option, reserved in options:
         if group.step.gang:
             _place_gang(
                 st, owner, entry, group, option, reserved, out, may_share
@@ -299,6 +316,26 @@
     return not group.waiting
 
 
+def _blocked_by(
+    owner: state.Owner, current: PlacementPass, group: state.Group
+) -> frozenset[str]:
+    """Returns the reserved workers that a task of a standing step would block.
+
+    Until it is stopped, the tasks for which they are reserved would not fit.
+    """
+    needs = work.reserved_resources(group.step)
+    blocked = set()
+    for worker_id, large in current.reserved.items():
+        worker = owner.workers.get(worker_id)
+        if worker is None:
+            continue
+        standing = reserving.standing_runs(owner, worker)
+        left = worker.entry.capacity - standing.used - needs
+        if not large.fits(left):
+            blocked.add(worker_id)
+    return frozenset(blocked)
+
+
 def _is_owed_failing_workers(
     st: state.State,
     owner: state.Owner,
@@ -412,9 +449,11 @@
     workers = [pool[name] for name in names]
     backend = backend_of(st, st.table[group.job_id])
     startable = current.startable.get(backend, {})
-    reserved = current.reserved
-    if reserved and starvation.is_starved(st, owner, group, backend, startable):
-        reserved = set()
+    reserved = current.reserved.keys()
+    if reserved and starvation.may_use_reserved(
+        st, owner, group, backend, startable
+    ):
+        reserved = frozenset()
     may_share = starvation.may_share(st, owner, group, backend, startable)
     return fitting.could_start(group, workers, reserved, may_share)
 
@@ -425,7 +464,7 @@
     entry: state.JobEntry,
     group: state.Group,
     workers: list[state.Worker],
-    reserved: set[str],
+    reserved: abc.Set[str],
     out: list,
     may_share: bool = False,
     most: int | None = None,
@@ -463,7 +502,7 @@
     entry: state.JobEntry,
     group: state.Group,
     workers: list[state.Worker],
-    reserved: set[str],
+    reserved: abc.Set[str],
     out: list,
     may_share: bool = False,
 ) -> bool:
--- a/packages/core/mimosaridge_core/jobs/starvation.py
+++ b/packages/core/mimosaridge_core/jobs/starvation.py
@@ -74,6 +74,23 @@
     )
 
 
+def may_use_reserved(
+    st: state.State,
+    owner: state.Owner,
+    group: state.Group,
+    backend: str,
+    pool: dict[str, state.Worker],
+) -> bool:
+    """Returns whether a step may start on workers reserved for others.
+
+    A standing step is owed room however full its back end is. The arguments are
+    those of `is_starved`.
+    """
+    if is_starved(st, owner, group, backend, pool):
+        return True
+    return group.step.standing and has_waited(st, group, PATIENCE_S)
+
+
 def may_share(
     st: state.State,
     owner: state.Owner,
@@ -83,21 +100,11 @@
 ) -> bool:
     """Returns whether backfill and serving tasks may share a worker for a step.
 
-    A standing step is owed room however full its back end is.
-
-    Args:
-        st: The state.
-        owner: The owner.
-        group: The step.
-        backend: Name of its back end.
-        pool: Workers of the back end that can take starts, by id; with those on
-            which runs have failed.
+    The arguments are those of `is_starved`.
     """
     if not group.step.fills and not group.step.target_ms:
         return False
-    if is_starved(st, owner, group, backend, pool):
-        return True
-    return group.step.standing and has_waited(st, group, PATIENCE_S)
+    return may_use_reserved(st, owner, group, backend, pool)
 
 
 def has_waited(st: state.State, group: state.Group, patience_s: float) -> bool:
--- a/tests/core/jobs/test_starvation.py
+++ b/tests/core/jobs/test_starvation.py
@@ -221,6 +221,36 @@
         world.run(LONGEST_IDLE_S)
         self.assertEqual(3, len(_starts(world, "standing")))
 
+    def test_standing_tasks_start_beside_reservations_however_full_it_is(self):
+        world = _world()
+        large = model.Step(4, _cores(2.5), 11.0, most_per_worker=1)
+        for number in range(2):
+            world.submit(f"large{number}", large, queue=URGENT)
+        world.run(1.0)
+        step = model.Step(3, _cores(0.5), standing=True)
+        world.submit("standing", step, queue=ROUTINE)
+        world.run(LONGEST_IDLE_S)
+        self.assertEqual(3, len(_starts(world, "standing")))
+        world.run(25.0)
+        for number in range(2):
+            state_of_large = world.state_of(f"large{number}")
+            self.assertEqual(model.JobState.COMPLETED, state_of_large)
+        self.assertEqual([], world.violations)
+
+    def test_a_standing_task_starts_where_it_blocks_no_reservation(self):
+        world = _world(workers=1)
+        world.add_worker("z0", 6000)
+        world.run(0.5)
+        for job_id, cores in (("now", 3), ("next", 3.5)):
+            step = model.Step(2, _cores(cores), 11.0, most_per_worker=1)
+            world.submit(job_id, step, queue=URGENT)
+            world.run(0.5)
+        step = model.Step(1, _cores(1), standing=True)
+        world.submit("standing", step, queue=ROUTINE)
+        world.run(LONGEST_IDLE_S)
+        starts = [s for s in world.starts if s.task_id.startswith("standing")]
+        self.assertEqual(["z0"], [start.worker_id for start in starts])
+
     def test_a_gang_is_not_starved_while_workers_drain_for_another(self):
         world = self._occupy()
         step = model.Step(4, CORE, 1.0, gang=True)
