Fail jobs of waiting tasks whose attempts a configuration has used up

Cause: attempts were compared with the limit when a run failed, and by a new owner with its first configuration only. Each configuration does so now, for tasks that wait; one that runs may still succeed.

test_a_waiting_task_without_attempts_does_not_start_again failed before: 2 starts in place of 1. After: it passes, as do the tests of the first configuration.

--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -339,10 +339,16 @@
 
 
 def check_attempts(st: state.State, owner: state.Owner, out: list) -> None:
-    """Fails the jobs with no attempt left, once a configuration is known."""
+    """Fails the jobs of waiting tasks that a configuration leaves no attempt.
+
+    It is the first that this owner knows, or allows fewer attempts than before.
+    A task that runs may still succeed.
+    """
     for group in list(owner.groups.values()):
-        for index in list(group.progress.failed_runs):
-            if group.job_id in owner.jobs and not group.step.standing:
+        if group.step.standing:
+            continue
+        for index in sorted(group.waiting & group.progress.failed_runs.keys()):
+            if group.job_id in owner.jobs:
                 entry = st.table[group.job_id]
                 _fail_without_attempts(
                     st, owner, entry, group.progress, group.step, index, out
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -29,8 +29,7 @@
         settings.keep_removed(st, old)
     if st.owner is not None:
         unheldusage.invalidate(st.owner)
-        if old is None:
-            runs.check_attempts(st, st.owner, out)
+        runs.check_attempts(st, st.owner, out)
     effects.log_decision(
         out,
         "configuration",
