Ignore SIGHUP until the settings file is read

Cause: the handler is installed after the imports, and the default action ends the process. It is ignored from the program's first lines on, since the file is read later anyway; changes of the file count from before that reading, so that one between it and the handler is not lost.

--- a/mimosaridge.py
+++ b/mimosaridge.py
@@ -3,8 +3,12 @@
 # Imports create almost no garbage; collections take a twelfth of their time.
 # `collector.configure` enables them again.
 import gc
+import signal
 
 gc.disable()
+# The default action would end the process. The settings file is read after the
+# imports, and then a handler that reads it again takes this one's place.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 # gevent must patch the standard library before any other import.
 from gevent import monkey  # noqa: E402
--- a/packages/daemon/mimosaridge_daemon/jobs/main.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/main.py
@@ -58,6 +58,7 @@
     if role != ROLE:
         print(f"unknown role {role!r}; use {ROLE!r}", file=sys.stderr)
         sys.exit(BAD_SETTINGS_EXIT)
+    mtime_ns = reloading.mtime_ns()
     try:
         settings = daemonsettings.load()
     except daemonsettings.InvalidError as error:
@@ -65,12 +66,21 @@
         sys.exit(BAD_SETTINGS_EXIT)
     handler = telemetry.QueuedHandler(settings.name, "INFO")
     with handler.applicationbound():
-        _serve(settings, handler)
+        _serve(settings, mtime_ns, handler)
 
 
 def _serve(
-    settings: daemonsettings.DaemonSettings, handler: telemetry.QueuedHandler
+    settings: daemonsettings.DaemonSettings,
+    mtime_ns: int,
+    handler: telemetry.QueuedHandler,
 ) -> None:
+    """Serves until the process is told to end.
+
+    Args:
+        settings: The settings.
+        mtime_ns: Modification time of their file before they were loaded, ns.
+        handler: Writes the log.
+    """
     engine = engines.Engine(settings, PEER_SECRET)
     answers = serving.ResponseTracker(front.Front(engine).app)
     servers = [
@@ -82,7 +92,7 @@
     ended = gevent_event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, ended.set)
-    reloader = reloading.Reloader(settings, engine.apply_bounds)
+    reloader = reloading.Reloader(settings, engine.apply_bounds, mtime_ns)
     gevent.signal_handler(signal.SIGHUP, reloader.reload, "signal")
     guarding.spawn("settings", reloader.run)
     guarding.spawn("log", handler.run)
--- a/packages/daemon/mimosaridge_daemon/jobs/reloading.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/reloading.py
@@ -24,27 +24,29 @@
     Args:
         settings: The settings loaded at the start.
         apply_bounds: Called with the time limits when they change.
+        mtime_ns: Modification time of the file before it was loaded, ns.
     """
 
     def __init__(
         self,
         settings: daemonsettings.DaemonSettings,
         apply_bounds: Callable[[model.Bounds], None],
+        mtime_ns: int,
     ) -> None:
         self.settings = settings
         self.apply_bounds = apply_bounds
-        self.mtime_ns = _mtime_ns()
+        self.mtime_ns = mtime_ns
 
     def run(self) -> None:
         """Reloads the file when it has changed; does not return."""
         while True:
             gevent.sleep(POLL_INTERVAL_S)
-            if _mtime_ns() != self.mtime_ns:
+            if mtime_ns() != self.mtime_ns:
                 self.reload("the file has changed")
 
     def reload(self, cause: str) -> None:
         """Reloads the file; ignores it if its settings are invalid."""
-        self.mtime_ns = _mtime_ns()
+        self.mtime_ns = mtime_ns()
         try:
             new = daemonsettings.load()
         except daemonsettings.InvalidError as error:
@@ -72,7 +74,7 @@
         self.settings = new
 
 
-def _mtime_ns() -> int:
+def mtime_ns() -> int:
     """Returns the file's modification time, ns; 0 if it is unavailable."""
     try:
         return os.stat(daemonsettings.path()).st_mtime_ns
--- a/tests/daemon/jobs/test_reloading.py
+++ b/tests/daemon/jobs/test_reloading.py
@@ -33,7 +33,7 @@
         self.addCleanup(os.environ.pop, daemonsettings.PATH_VARIABLE)
         self.bounds = []
         self.reloader = reloading.Reloader(
-            daemonsettings.load(), self.bounds.append
+            daemonsettings.load(), self.bounds.append, reloading.mtime_ns()
         )
 
     def _write(self, text):
--- a/tests/platform/platforms.py
+++ b/tests/platform/platforms.py
@@ -18,7 +18,7 @@
 STORE_PORT = 8683
 
 
-def _settings(name, ip, store_ip):
+def settings_of(name, ip, store_ip):
     lines = {
         "nodeName": name,
         "ip": ip,
@@ -100,7 +100,7 @@
         ip = f"127.{self.network}.1.{number}"
         name = f"front-{number}"
         settings = self.folder / f"{name}.conf"
-        settings.write_text(_settings(name, ip, self.store_ip))
+        settings.write_text(settings_of(name, ip, self.store_ip))
         with open(self.folder / f"{name}.log", "ab") as log:
             process = subprocess.Popen(
                 [sys.executable, str(ROOT / "mimosaridge.py"), "front"],
