Refuse access to jobs of keyed queues through public prefixes

Cause: the key is checked for the request's queue, and the job is then looked up by its id alone. Without a key, a job is now out of reach, with 401, unless its own queue is public or has the same prefix, as after a renaming.

test_a_public_prefix_gives_no_access_to_jobs_of_keyed_queues failed before: 200 in place of 401. tests/daemon/jobs passes.

--- a/packages/daemon/mimosaridge_daemon/jobs/front.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -6,9 +6,11 @@
 
 import bottle
 import gevent
+import result
 
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import settings
 from mimosaridge_daemon import codec
 from mimosaridge_daemon import guarding
 from mimosaridge_daemon.jobs import documents
@@ -96,9 +98,9 @@
         if method == "POST":
             return self._submit(queue, team, name, configuration.largest_body)
         if method == "GET":
-            return self._state(name)
+            return self._state(queue, team, name)
         if method == "DELETE":
-            return self._cancel(name)
+            return self._cancel(queue, team, name)
         return self._empty_response(http.HTTPStatus.METHOD_NOT_ALLOWED)
 
     def _disallow(self, status: http.HTTPStatus, are_recent: bool) -> bytes:
@@ -227,49 +229,66 @@
                 return None, 0
             gevent.sleep(WRITE_RETRY_S)
 
-    def _state(self, job_id: str) -> bytes:
-        entry = self.engine.state.table.get(job_id)
-        if entry is not None:
-            return submissions.encode_state(entry.state)
+    def _state(self, queue: model.Queue, team: str, job_id: str) -> bytes:
         found = self._find(job_id)
-        if found is None:
-            return self._refuse("the store does not answer")
-        if not found:
+        if found.is_err():
+            return self._refuse(found.err_value)
+        if found.ok_value is None:
             return self._empty_response(http.HTTPStatus.GONE)
+        if not self._may_see(queue, team, found.ok_value):
+            return self._empty_response(http.HTTPStatus.UNAUTHORIZED)
         entry = self.engine.state.table.get(job_id)
         if entry is None:
             return submissions.encode_state(model.JobState.QUEUED)
         return submissions.encode_state(entry.state)
 
-    def _find(self, job_id: str) -> bool | None:
-        """Returns whether the store has the job; None if that is unknown."""
+    def _may_see(self, queue: model.Queue, team: str, job: model.Job) -> bool:
+        """Returns whether a caller may see and cancel a job through a queue.
+
+        Without a key, a job of a queue that asks for one is out of reach, also
+        through the prefix of a public queue.
+        """
+        if team:
+            return True
+        own = settings.queue_of(self.engine.state, job)
+        if own is None or own.public:
+            return True
+        # The queue may have been renamed and made public since.
+        return (own.host, own.prefix) == (queue.host, queue.prefix)
+
+    def _find(self, job_id: str) -> result.Result[model.Job | None, str]:
+        """Returns the job, None if there is none, or why that is unknown."""
+        entry = self.engine.state.table.get(job_id)
+        if entry is not None:
+            return result.Ok(entry.job)
         key = documents.JOBS + job_id
         answer = self.engine.store.call(storecalls.read(key))
         if answer.is_err() or answer.ok_value[0] not in (200, 404):
-            return None
+            return result.Err("the store does not answer")
         status, body = answer.ok_value
         if status == 404:
-            return False
+            return result.Ok(None)
         try:
             item = storecalls.decode_item(body)
             job = documents.decode_job(item.value, job_id)
         except (calls.MalformedError, codec.MalformedError) as error:
             self.engine.log("unreadable", job=job_id, reason=str(error))
-            return None
+            return result.Err("the stored job can't be decoded")
         self.engine.post(
             events.JobAccepted(time.monotonic(), job, item.revision)
         )
-        return True
+        return result.Ok(job)
 
-    def _cancel(self, job_id: str) -> bytes:
+    def _cancel(self, queue: model.Queue, team: str, job_id: str) -> bytes:
+        found = self._find(job_id)
+        if found.is_err():
+            return self._refuse(found.err_value)
+        if found.ok_value is None:
+            return self._empty_response(http.HTTPStatus.GONE)
+        if not self._may_see(queue, team, found.ok_value):
+            return self._empty_response(http.HTTPStatus.UNAUTHORIZED)
         entry = self.engine.state.table.get(job_id)
-        if entry is None:
-            found = self._find(job_id)
-            if found is None:
-                return self._refuse("the store does not answer")
-            if not found:
-                return self._empty_response(http.HTTPStatus.GONE)
-        elif entry.state in model.FINAL_STATES:
+        if entry is not None and entry.state in model.FINAL_STATES:
             return b""
         key = documents.CANCELS + job_id
         request = storecalls.write({}, {key: b"{}"})
--- a/tests/daemon/jobs/test_odd_requests.py
+++ b/tests/daemon/jobs/test_odd_requests.py
@@ -10,6 +10,7 @@
 import testtools
 
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import state
 from mimosaridge_daemon.jobs import front
 
 QUEUE = model.Queue("q", "host", "/q/", "registry", public=True)
@@ -31,10 +32,11 @@
         return result.Ok((200, b'{"revision":5}'))
 
 
-class _State:
+class _State(state.State):
     def __init__(self):
-        self.configuration = model.Configuration(1, {"q": QUEUE}, {}, {})
-        self.table = {}
+        super().__init__(
+            configuration=model.Configuration(1, {"q": QUEUE}, {}, {})
+        )
 
 
 class _Reader:
@@ -104,6 +106,41 @@
             status = self._request("POST", f"/q/{name}", oddvalues.encode(BODY))
             self.assertEqual(404, status, name)
 
+    def _keep_job_of_keyed_queue(self):
+        keyed = model.Queue("k", "host", "/k/", "registry")
+        self.engine.state.configuration = model.Configuration(
+            2, {"q": QUEUE, "k": keyed}, {}, {"key": "a"}
+        )
+        job = model.Job(JOB_ID, "k", "registry", "a", "text", (), 0.0)
+        self.engine.state.table[JOB_ID] = state.JobEntry(job, 5)
+
+    def test_a_public_prefix_gives_no_access_to_jobs_of_keyed_queues(self):
+        self._keep_job_of_keyed_queue()
+        for method in ("GET", "DELETE"):
+            for prefix in ("/q/", "/k/"):
+                self.assertEqual(401, self._request(method, prefix + JOB_ID))
+        self.assertEqual([], self.engine.stored)
+
+    def test_a_key_gives_access_to_jobs_of_keyed_queues(self):
+        self._keep_job_of_keyed_queue()
+        for method in ("GET", "DELETE"):
+            for prefix in ("/q/", "/k/"):
+                status = self._request(
+                    method, prefix + JOB_ID, HTTP_X_KEY="key"
+                )
+                self.assertEqual(200, status)
+
+    def test_a_queue_that_was_renamed_and_made_public_keeps_its_jobs(self):
+        self._keep_job_of_keyed_queue()
+        before = self.engine.state.configuration
+        renamed = model.Queue("n", "host", "/k/", "registry", public=True)
+        self.engine.state.configuration = model.Configuration(
+            3, {"q": QUEUE, "n": renamed}, {}, {}
+        )
+        self.engine.state.removed_queues = {"k": before.queues["k"]}
+        self.assertEqual(200, self._request("GET", "/k/" + JOB_ID))
+        self.assertEqual(401, self._request("GET", "/q/" + JOB_ID))
+
     def test_odd_deadline_is_ignored(self):
         body = oddvalues.encode(BODY)
         for deadline in ("\u00b2", "9" * 400, "9" * 5000, "-1", "x", "", "1e9"):
