Let lasting steps call for advice before short calls fill all daemons

Cause: a slow call is made only while two daemons are idle. After a takeover 198 jobs asked for tickets at once, and with more short calls than daemons can make there was never more than one. That the service turned it down is ruled out: nobody had asked it for 2.66 s. A step that lasts now asks first once it has found no daemon for 0.5 s, and any daemon.

test_short_calls_of_urgent_steps_keep_no_standing_step_waiting failed before: 0 of 1 started.

--- a/packages/core/mimosaridge_core/jobs/advice_calls.py
+++ b/packages/core/mimosaridge_core/jobs/advice_calls.py
@@ -124,13 +124,24 @@
     advice: model.AdviceSettings,
     asked: list[str],
     out: list,
+    is_owed: bool = False,
 ) -> bool:
-    """Requests tickets; returns False if no daemon can make a call now."""
+    """Requests tickets; returns False if no daemon can make a call now.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        group: The step.
+        advice: The queue's advice settings.
+        asked: Ids of the workers.
+        out: Effects.
+        is_owed: Whether also daemons reserved for short calls may make it.
+    """
     # Daemons make the calls at the same time: the answer about all workers
     # takes no longer than that about the first.
     for first in range(0, len(asked), tunables.ADVICE_WORKERS):
         part = asked[first : first + tunables.ADVICE_WORKERS]
-        if not _request(st, owner, group, advice, part, out):
+        if not _request(st, owner, group, advice, part, out, is_owed):
             return False
     return True
 
@@ -142,10 +153,12 @@
     advice: model.AdviceSettings,
     workers: list[str],
     out: list,
+    is_owed: bool,
 ) -> bool:
     """Makes an idle daemon call for advice; returns whether there is one."""
     duration_s = call_duration_s(advice, len(workers))
-    idle = _idle_askers(st, owner, duration_s > SLOW_CALL_S)
+    is_slow = duration_s > SLOW_CALL_S and not is_owed
+    idle = _idle_askers(st, owner, is_slow)
     if not idle:
         return False
     owner.asked += 1
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -110,9 +110,15 @@
         if group.reserved and group.key not in due_keys
     ]
     ranked = sorted(
-        (ranking.rank(st, owner, group), group.key, group) for group in due
+        (
+            not starvation.is_owed_advice(st, group),
+            ranking.rank(st, owner, group),
+            group.key,
+            group,
+        )
+        for group in due
     )
-    for _, key, group in ranked:
+    for _, _, key, group in ranked:
         if key in due_keys and st.now >= group.retry_at:
             _place_group(st, owner, current, group, out)
         current.reserve_for(group)
@@ -423,8 +429,9 @@
     ):
         group.next_advice_at = st.now + advice_calls.RECHECK_INTERVAL_S
         return
+    is_owed = starvation.is_owed_advice(st, group)
     group.wants_advice = not advice_calls.request_advice(
-        st, owner, group, advice, asked, out
+        st, owner, group, advice, asked, out, is_owed
     )
     if group.wants_advice and could_start:
         group.denied_call_s = duration_s
--- a/packages/core/mimosaridge_core/jobs/starvation.py
+++ b/packages/core/mimosaridge_core/jobs/starvation.py
@@ -17,6 +17,9 @@
 # Workers with shorter tasks drain in this time, so that a large task gets its
 # turn.
 PATIENCE_S = 2.0
+# A standing step calls for advice before more urgent steps after this time,
+# which leaves time for a call in progress and its own.
+ADVICE_PATIENCE_S = 0.5
 # A step with nothing running uses workers on which runs have failed after this
 # time, which limits how fast its attempts are used up on a faulty worker. Ends
 # of runs may be known almost a second late.
@@ -107,6 +110,18 @@
     return may_use_reserved(st, owner, group, backend, pool)
 
 
+def is_owed_advice(st: state.State, group: state.Group) -> bool:
+    """Returns whether a step's call for advice precedes more urgent ones.
+
+    It is standing, and no daemon has been idle for its call for a time.
+    """
+    return (
+        group.step.standing
+        and group.denied_since > 0
+        and st.now - group.denied_since >= ADVICE_PATIENCE_S
+    )
+
+
 def has_waited(st: state.State, group: state.Group, patience_s: float) -> bool:
     """Returns whether a step has been without room for a time, seconds."""
     since = group.blocked_since
--- a/tests/core/jobs/test_starvation.py
+++ b/tests/core/jobs/test_starvation.py
@@ -306,6 +306,19 @@
         for number in range(4):
             self.assertEqual(1, len(_starts(world, f"r{number}")))
 
+    def test_short_calls_of_urgent_steps_keep_no_standing_step_waiting(self):
+        fast = model.AdviceSettings(0.09, 0.0, 2.0)
+        world = _world(
+            workers=20, askers=4, urgent_advice=fast, advice=self.SLOW
+        )
+        tiny = resources.Resources(10, 10, 0)
+        for number in range(300):
+            world.submit(f"u{number}", model.Step(1, tiny, 1.0), queue=URGENT)
+        step = model.Step(1, CORE, standing=True)
+        world.submit("standing", step, queue=ROUTINE)
+        world.run(LONGEST_IDLE_S)
+        self.assertEqual(1, len(_starts(world, "standing")))
+
     def _ask_about_the_only_worker(self, good_share=0.0):
         """Asks for advice; the answer, 0.6 s later, finds it unfit or good."""
         world = _world(workers=1, urgent_advice=self.SLOW)
