--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -288,8 +288,39 @@
     """
     backend = backend_of(st, entry)
     startable = current.startable.get(backend, {})
-    reserved = current.reserved.keys()
     may_share = starvation.may_share(st, owner, group, backend, startable)
+    waiting = len(group.waiting)
+    for option in _starved_options(
+        st, owner, current, group, backend, workers, may_share
+    ):
+        if group.step.gang:
+            _place_gang(st, owner, entry, group, *option, out, may_share)
+        else:
+            # One task that ends is enough: the others wait for other workers.
+            most = waiting if group.step.standing else 1
+            _place_each(st, owner, entry, group, *option, out, may_share, most)
+        started = waiting - len(group.waiting)
+        if started:
+            starvation.count_starts(owner, group, backend, started)
+            break
+    return not group.waiting
+
+
+def _starved_options(
+    st: state.State,
+    owner: state.Owner,
+    current: PlacementPass,
+    group: state.Group,
+    backend: str,
+    workers: list[state.Worker],
+    may_share: bool,
+) -> list[tuple[list[state.Worker], abc.Set[str]]]:
+    """Returns workers for a starved step, and those of them not to be used.
+
+    The first option on which a task fits is to be taken.
+    """
+    startable = current.startable.get(backend, {})
+    reserved = current.reserved.keys()
     options = []
     if reserved and starvation.may_use_reserved(
         st, owner, group, backend, startable
@@ -303,23 +334,7 @@
     if _is_owed_failing_workers(st, owner, current, group, backend):
         failing = _approved_workers(st, current, group, startable, False)
         options.append((failing, reserved))
-    waiting = len(group.waiting)
-    for option, reserved in options:
-        if group.step.gang:
-            _place_gang(
-                st, owner, entry, group, option, reserved, out, may_share
-            )
-        else:
-            # One task that ends is enough: the others wait for other workers.
-            most = waiting if group.step.standing else 1
-            _place_each(
-                st, owner, entry, group, option, reserved, out, may_share, most
-            )
-        started = waiting - len(group.waiting)
-        if started:
-            starvation.count_starts(owner, group, backend, started)
-            break
-    return not group.waiting
+    return options
 
 
 def _blocked_by(
