Learn run times and workers' speeds from finished runs

Cause: order, preemption, draining and the judgement of slow workers rest on declared run times, which are off by up to nine tenths.

Change: runtimes.py keeps decaying sums by queue (a line from declared to actual time) and by queue, team, image and step (an offset from it), and takes the finished tasks of a step itself into account; workers' speeds come from how their runs differ from the other tasks of the same steps. learning.py stores the sums each 10 s under a key that only a new owner reads. Urgent tasks take faster workers first.

--- a/packages/core/mimosaridge_core/jobs/draining.py
+++ b/packages/core/mimosaridge_core/jobs/draining.py
@@ -5,23 +5,11 @@
 would not finish in time are therefore stopped beforehand.
 """
 
+from mimosaridge_core.jobs import runtimes
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
 from mimosaridge_core.jobs import timing
 
-# A run of unknown progress is assumed to take this many times its estimate.
-UNKNOWN_PROGRESS_FACTOR = 1.3
-
-
-def remaining_s(st: state.State, run: state.Run, estimate_s: float) -> float:
-    """Returns the expected remaining time of a run, in seconds."""
-    if run.percent > 0:
-        time_to_percent = run.percent_at - run.started_at
-        left = time_to_percent * (100 - run.percent) / run.percent
-        return max(0.0, left - (st.now - run.percent_at))
-    elapsed = st.now - run.started_at
-    return max(0.0, estimate_s * UNKNOWN_PROGRESS_FACTOR - elapsed)
-
 
 def check(st: state.State, owner: state.Owner, out: list) -> None:
     """Stops runs that would not finish before their draining worker leaves."""
@@ -50,7 +38,7 @@
     if group.step.standing:
         stopping.stop(st, owner, worker, run, "worker is draining", out)
         return
-    if remaining_s(st, run, group.step.estimate_s) <= left_s:
+    if runtimes.remaining_s(st, run, group.expected) <= left_s:
         return
     if group.step.checkpoints and left_s > 0:
         # Stopping as late as possible leaves more work in the checkpoint.
--- a/packages/core/mimosaridge_core/jobs/effects.py
+++ b/packages/core/mimosaridge_core/jobs/effects.py
@@ -139,6 +139,19 @@
     fleet: model.Fleet | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class StoreRunTimes:
+    """Stores what was learned from finished runs if this is still the owner.
+
+    Attributes:
+        token: Fencing token of the owner.
+        run_times: A copy of what was learned.
+    """
+
+    token: int
+    run_times: model.RunTimes
+
+
 @dataclasses.dataclass(slots=True)
 class Resign:
     """Gives up at once the ownership that a token stands for."""
--- a/packages/core/mimosaridge_core/jobs/events.py
+++ b/packages/core/mimosaridge_core/jobs/events.py
@@ -196,6 +196,21 @@
     former_claimed_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class RunTimesRead:
+    """A daemon about to own has read what former owners have learned.
+
+    Attributes:
+        now: Steady time, seconds.
+        wall: Time of day, seconds since the Unix epoch.
+        run_times: What is stored.
+    """
+
+    now: float
+    wall: float
+    run_times: model.RunTimes
+
+
 @dataclasses.dataclass(slots=True)
 class OwnershipLost:
     """Another daemon is or may be the owner.
--- a/packages/core/mimosaridge_core/jobs/fitting.py
+++ b/packages/core/mimosaridge_core/jobs/fitting.py
@@ -15,6 +15,7 @@
     free. Standing tasks are spread onto the emptiest, except those with a
     latency target: packing these leaves workers to tasks that fill. Workers
     that have to be shared come late, and last those on which tasks have failed.
+    Urgent tasks take faster workers first.
 
     The worker chosen for one task mostly stays the best for the next, so the
     workers are kept in a heap: each further task costs a logarithm of their
@@ -27,8 +28,10 @@
         workers: list[state.Worker],
         reserved: abc.Set[str],
         may_share: bool = False,
+        speeds: dict[str, int] | None = None,
     ) -> None:
         self.group = group
+        self.speeds = speeds or {}
         self.needs = work.reserved_resources(group.step)
         self.is_spread = group.step.standing and not group.step.target_ms
         self.workers = {
@@ -84,6 +87,7 @@
             worker.failures > 0,
             interferes(group, worker),
             bool(group.step.rack) and group.step.rack != worker.rack,
+            -self.speeds.get(worker.entry.worker_id, 0),
             -after if self.is_spread else after,
             worker.entry.worker_id,
         )
--- a/packages/core/mimosaridge_core/jobs/model.py
+++ b/packages/core/mimosaridge_core/jobs/model.py
@@ -6,9 +6,14 @@
 
 import dataclasses
 import enum
+import math
 
 from mimosaridge_core import resources
 
+# Standard deviations between the expected and the cautious or hopeful time of a
+# task: nine in ten runs lie on this side.
+CAUTION = 1.3
+
 
 class JobState(enum.StrEnum):
     """State of a job as reported to callers."""
@@ -283,6 +288,65 @@
     routes: dict[str, tuple[str, ...]] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expectation:
+    """How long a task is expected to run on a worker of usual speed.
+
+    Attributes:
+        log_s: Mean of the logarithm of the time in seconds.
+        variance: Variance of that logarithm.
+        runs: Weight of the finished runs that it rests on; 0 if it is the
+            declared time.
+    """
+
+    log_s: float = 0.0
+    variance: float = 0.25
+    runs: float = 0.0
+
+    @property
+    def usual_s(self) -> float:
+        """The expected time, seconds."""
+        return math.exp(self.log_s)
+
+    @property
+    def cautious_s(self) -> float:
+        """A time that most runs stay below, seconds."""
+        return math.exp(self.log_s + CAUTION * math.sqrt(self.variance))
+
+    @property
+    def hopeful_s(self) -> float:
+        """A time that most runs exceed, seconds."""
+        return math.exp(self.log_s - CAUTION * math.sqrt(self.variance))
+
+
+@dataclasses.dataclass(slots=True)
+class Sums:
+    """Weighted sums over samples; see `runtimes` for what they sum up.
+
+    Attributes:
+        at: Time that the weights refer to, seconds since the Unix epoch.
+        values: The sum of the weights, and those of weighted amounts.
+    """
+
+    at: float
+    values: list[float]
+
+
+@dataclasses.dataclass(slots=True)
+class RunTimes:
+    """What was learned from finished runs, stored for the next owner.
+
+    Attributes:
+        queues: By queue, sums over runs of the declared and the actual time.
+        classes: By queue, team, image and step, sums of the same.
+        workers: By worker, how much longer its runs take than others.
+    """
+
+    queues: dict[str, Sums] = dataclasses.field(default_factory=dict)
+    classes: dict[str, Sums] = dataclasses.field(default_factory=dict)
+    workers: dict[str, Sums] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunReport:
     """A run that a worker lists as running.
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -23,6 +23,7 @@
 from mimosaridge_core.jobs import preemption
 from mimosaridge_core.jobs import ranking
 from mimosaridge_core.jobs import reserving
+from mimosaridge_core.jobs import runtimes
 from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import starting
 from mimosaridge_core.jobs import starvation
@@ -508,7 +509,8 @@
         st, owner, entry, group.step.needs, len(group.waiting)
     )
     group.is_limited = allowed < len(group.waiting)
-    chooser = fitting.Chooser(group, workers, reserved, may_share)
+    speeds = runtimes.speed_classes(st, entry, workers)
+    chooser = fitting.Chooser(group, workers, reserved, may_share, speeds)
     for index in sorted(group.waiting)[:allowed][:most]:
         worker = chooser.choose(index)
         if worker is None:
--- a/packages/core/mimosaridge_core/jobs/reducer.py
+++ b/packages/core/mimosaridge_core/jobs/reducer.py
@@ -5,6 +5,7 @@
 from mimosaridge_core.jobs import dispatch
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import holds
+from mimosaridge_core.jobs import learning
 from mimosaridge_core.jobs import ownership
 from mimosaridge_core.jobs import resigning
 from mimosaridge_core.jobs import sharing
@@ -17,6 +18,7 @@
 HANDLER_MODULES = (
     advice_calls,
     holds,
+    learning,
     ownership,
     resigning,
     sharing,
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -5,6 +5,7 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import runtimes
 from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import sharing
 from mimosaridge_core.jobs import state
@@ -254,6 +255,9 @@
         _log_duplicate(group, index, row, worker.entry.worker_id, out)
     if row.how == model.RunOutcome.DONE and not step.standing:
         worker.failures = 0
+        if run is not None and group is not None:
+            runtimes.learn(st, owner, worker, run, entry.job, group, index)
+            work.revise_expectation(st, entry.job, group)
         work.mark_done(st, owner, entry, (repetition, number, index), out)
         _stop_copies(st, owner, group, index, out)
         return
--- a/packages/core/mimosaridge_core/jobs/stalls.py
+++ b/packages/core/mimosaridge_core/jobs/stalls.py
@@ -95,7 +95,7 @@
             ),
             run.percent,
         )
-        gained = (percent - run.percent) / 100 * group.step.estimate_s
+        gained = (percent - run.percent) / 100 * group.expected.usual_s
         gained_s.setdefault(group.job_id, []).append(gained)
     if has_progressed:
         worker.progressed_at = st.now
@@ -117,7 +117,7 @@
     monitored = _monitored_runs(st, owner, worker)
     if not monitored:
         return
-    shortest = min(group.step.estimate_s for _, group in monitored)
+    shortest = min(group.expected.cautious_s for _, group in monitored)
     still_s = st.now - worker.progressed_at
     threshold_s = (
         timing.stall_timeout_s(st.bounds)
@@ -152,5 +152,5 @@
         return False
     return (
         group.step.checkpoints
-        or group.step.estimate_s <= MAX_RESTART_ESTIMATE_S
+        or group.expected.usual_s <= MAX_RESTART_ESTIMATE_S
     )
--- a/packages/core/mimosaridge_core/jobs/starting.py
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -45,6 +45,7 @@
         state.Phase.STARTING,
         st.now,
         saved=saved,
+        is_timed=not saved,
         percent_at=st.now,
         target_ms=group.step.target_ms,
         fills=group.step.fills,
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -47,6 +47,8 @@
         is_listed: Whether its worker has listed it as running.
         is_start_answered: Whether the start was answered; if not, it may be
             carried out late.
+        is_timed: Whether this owner has started it, without a checkpoint, so
+            that its time is that of the whole task.
         target_ms: Latency target of its step, milliseconds; 0 for none.
         fills: Whether it is backfill: it uses processor time that other runs
             leave idle.
@@ -73,6 +75,7 @@
     why_stopped: str = ""
     is_listed: bool = False
     is_start_answered: bool = False
+    is_timed: bool = False
     target_ms: int = 0
     fills: bool = False
     load: float = 0.0
@@ -256,9 +259,12 @@
             or, if it is standing, a task that waits; 0 if neither.
         failed_on: Workers on which a task failed, by index.
         explained_at: When the log last explained why it waits.
-        remaining_work_s: Declared critical path from it to the end of the job,
+        remaining_work_s: Expected critical path from it to the end of the job,
             seconds.
-        job_work_s: Declared critical path of the whole job, seconds.
+        job_work_s: Expected critical path of the whole job, seconds.
+        expected: Expected run time of a task.
+        finished: Logarithms of the run times, in seconds, of tasks that have
+            ended as done, by index.
     """
 
     job_id: str
@@ -288,6 +294,8 @@
     explained_at: float = 0.0
     remaining_work_s: float = 0.0
     job_work_s: float = 0.0
+    expected: model.Expectation = model.Expectation()
+    finished: dict[int, float] = dataclasses.field(default_factory=dict)
 
     @property
     def key(self) -> str:
@@ -364,6 +372,23 @@
     low_since: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class RunTimeErrors:
+    """How far off expected run times were, as sums over finished runs.
+
+    Attributes:
+        runs: Number of runs.
+        took_s: Their run times, seconds.
+        declared: Distances of the logarithms of declared and actual times.
+        learned: Distances of those of learned and actual times.
+    """
+
+    runs: int = 0
+    took_s: float = 0.0
+    declared: float = 0.0
+    learned: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Write:
     """A write of progress in flight.
@@ -442,6 +467,9 @@
         failure_logged_at: When the failure of a part of a tick was last logged,
             by part.
         backend_use: Use of back ends where a step was starved, by name.
+        run_time_errors: How far off expected run times were, by queue, since
+            the log last told.
+        run_times_stored_at: When run times were last given to the store.
     """
 
     token: int
@@ -500,6 +528,10 @@
         default_factory=dict
     )
     backend_use: dict[str, BackendUse] = dataclasses.field(default_factory=dict)
+    run_time_errors: dict[str, RunTimeErrors] = dataclasses.field(
+        default_factory=dict
+    )
+    run_times_stored_at: float = 0.0
 
     def next_incarnation(self) -> int:
         """Returns a number for an incarnation not known before."""
@@ -527,6 +559,9 @@
         entries: Entries of the list of workers, by worker id.
         askers: Daemons that can call the advice service.
         bounds: The platform's time limits.
+        learns_run_times: Whether expected run times are learned; otherwise the
+            declared ones are used.
+        run_times: What was learned from finished runs.
         owner: The owner's state; None if this daemon is not the owner.
     """
 
@@ -550,4 +585,8 @@
     )
     askers: frozenset[str] = frozenset()
     bounds: model.Bounds = model.Bounds()
+    learns_run_times: bool = True
+    run_times: model.RunTimes = dataclasses.field(
+        default_factory=model.RunTimes
+    )
     owner: Owner | None = None
--- a/packages/core/mimosaridge_core/jobs/ticking.py
+++ b/packages/core/mimosaridge_core/jobs/ticking.py
@@ -9,6 +9,7 @@
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import holds
+from mimosaridge_core.jobs import learning
 from mimosaridge_core.jobs import placement
 from mimosaridge_core.jobs import sharing
 from mimosaridge_core.jobs import state
@@ -70,4 +71,5 @@
     placement.place_waiting_tasks,
     writing.write_due,
     waiting.check,
+    learning.store_due,
 )
--- a/packages/core/mimosaridge_core/jobs/work.py
+++ b/packages/core/mimosaridge_core/jobs/work.py
@@ -3,6 +3,7 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import runtimes
 from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import tunables
@@ -55,12 +56,19 @@
     return job.first_run_at + repetition * job.interval_s
 
 
-def critical_paths_s(job: model.Job) -> list[float]:
+def critical_paths_s(
+    job: model.Job, times_s: list[float] | None = None
+) -> list[float]:
     """Returns the estimated critical path from each step to the end, seconds.
 
     Its time grows with the number of dependencies: callers choose the graph.
+
+    Args:
+        job: The job.
+        times_s: Run time of a task of each step, seconds; None for the declared
+            ones.
     """
-    paths = [step.estimate_s for step in job.steps]
+    paths = times_s or [step.estimate_s for step in job.steps]
     later = [0.0] * len(paths)
     for number in range(len(paths) - 1, -1, -1):
         paths[number] += later[number]
@@ -139,7 +147,6 @@
     if group is None:
         progress = step_progress(entry, repetition, number)
         step = entry.job.steps[number]
-        paths = critical_paths_s(entry.job)
         group = state.Group(
             entry.job.job_id,
             repetition,
@@ -148,14 +155,42 @@
             st.now,
             set(range(step.tasks)) - set(progress.done),
             progress,
-            remaining_work_s=paths[number],
-            job_work_s=max(paths),
         )
+        expect(st, entry.job, group)
         owner.groups[key] = group
         owner.jobs.setdefault(entry.job.job_id, set()).add(key)
     return group
 
 
+def expect(st: state.State, job: model.Job, group: state.Group) -> None:
+    """Sets how long a step and its job are expected to take."""
+    group.expected = runtimes.expectation(st, job, group.number, group)
+    times_s = [step.estimate_s for step in job.steps]
+    if st.learns_run_times:
+        times_s = [
+            runtimes.expectation(st, job, number, None).usual_s
+            for number in range(len(job.steps))
+        ]
+        times_s[group.number] = group.expected.usual_s
+    paths = critical_paths_s(job, times_s)
+    group.remaining_work_s = paths[group.number]
+    group.job_work_s = max(paths)
+
+
+def revise_expectation(
+    st: state.State, job: model.Job, group: state.Group
+) -> None:
+    """Corrects what is expected of a step by its finished tasks."""
+    before_s = group.expected.usual_s
+    group.expected = runtimes.expectation(st, job, group.number, group)
+    if st.learns_run_times:
+        change_s = group.expected.usual_s - before_s
+        group.remaining_work_s += change_s
+        group.job_work_s = max(
+            group.remaining_work_s, group.job_work_s + change_s
+        )
+
+
 def mark_dirty(owner: state.Owner, job_id: str, due_at: float) -> None:
     """Schedules a write of a job's progress at the given time or earlier."""
     owner.dirty[job_id] = min(due_at, owner.dirty.get(job_id, due_at))
--- a/packages/daemon/mimosaridge_daemon/jobs/documents.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/documents.py
@@ -14,6 +14,8 @@
 DAEMONS = f"{ROOT}daemon/"
 OWNER = f"{ROOT}owner"
 FLEET = f"{ROOT}workers"
+# Outside of the prefix that all daemons follow: only new owners read it.
+RUN_TIMES = "mimosaridge-learned/run-times"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -98,7 +98,10 @@
         self.url = f"ws://{settings.ip}:{settings.peer_port}"
         self.inbox: queue.Queue = queue.Queue()
         self.state = state.State(
-            now=time.monotonic(), wall=time.time(), bounds=settings.bounds
+            now=time.monotonic(),
+            wall=time.time(),
+            bounds=settings.bounds,
+            learns_run_times=settings.learns_run_times,
         )
         self.draining = False
         self.store = storage.Store(settings.store)
@@ -157,6 +160,7 @@
             effects.Pace: self.router.give,
             effects.AskAdvice: self._ask_advice,
             effects.WriteProgress: self._write_progress,
+            effects.StoreRunTimes: self.recorder.store_run_times,
             effects.Resign: lambda effect: self.ownership.resign(
                 effect.token, effect.reason
             ),
@@ -457,6 +461,7 @@
             gevent.sleep(READ_RETRY_S)
         if self.ownership.token != token:
             return
+        guarding.attempt("run times", self._read_run_times)
         self.post(
             events.OwnershipClaimed(
                 time.monotonic(),
@@ -470,6 +475,13 @@
             )
         )
 
+    def _read_run_times(self) -> None:
+        """Reads what was learned; without it the declared times count."""
+        answer = self.store.call(storecalls.read(documents.RUN_TIMES))
+        if answer.is_ok() and answer.ok_value[0] == 200:
+            item = storecalls.decode_item(answer.ok_value[1])
+            self.reader.load_run_times(item)
+
     def _read_state(self, token: int) -> bool:
         """Reads the state and the workers; returns whether it succeeded."""
         for prefix, load in (
--- a/packages/daemon/mimosaridge_daemon/jobs/reading.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/reading.py
@@ -160,6 +160,15 @@
         )
         self.has_job_table = True
 
+    def load_run_times(self, item: storecalls.Item) -> None:
+        """Loads what former owners have learned; ignores what is malformed."""
+        try:
+            learned = documents.decode(model.RunTimes, item.value)
+        except codec.MalformedError as error:
+            LOG.error("{}", error, extra={"key": item.key})
+            return
+        self.post(events.RunTimesRead(time.monotonic(), time.time(), learned))
+
     def apply_state_change(self, item: storecalls.Item) -> None:
         """Applies a change to an item of the daemons' state."""
         now = time.monotonic()
--- a/packages/daemon/mimosaridge_daemon/jobs/recording.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/recording.py
@@ -90,6 +90,14 @@
             copies,
         )
 
+    def store_run_times(self, effect: effects.StoreRunTimes) -> None:
+        """Stores what was learned; a write that fails is not repeated."""
+        value = documents.encode(effect.run_times)
+        request = storecalls.write(
+            {documents.OWNER: effect.token}, {documents.RUN_TIMES: value}
+        )
+        gevent.spawn(guarding.attempt, "run times", self.store.call, request)
+
     def _write_or_report(self, batch: int, *args: Any) -> None:
         try:
             self._write(batch, *args)
--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -54,6 +54,7 @@
         workers: The latest incarnation of each worker, by id.
         listed: Ids of workers in the daemons' worker lists.
         configurations: Times, in seconds, and configurations delivered then.
+        run_times: Run times that an owner has stored last.
         known_jobs: All jobs ever submitted, by id.
         team_of_job: Their teams.
         durations: Run times of tasks that differ from the estimate of their
@@ -108,6 +109,7 @@
         self.news_at = [0.0] * daemons
         self.listed: set[str] = set()
         self.workers: dict[str, jobworkers.Worker] = {}
+        self.run_times = model.RunTimes()
         self.daemons = [state.State() for _ in range(daemons)]
         for number in range(workers):
             self.add_worker(f"w{number}")
@@ -472,6 +474,8 @@
             self.calls.send(number, effect)
         elif isinstance(effect, effects.WriteProgress):
             self.store.write(number, effect)
+        elif isinstance(effect, effects.StoreRunTimes):
+            self.run_times = effect.run_times
         elif isinstance(effect, effects.AskAdvice):
             self.advice.answer(number, effect)
         elif isinstance(effect, effects.Decision):
--- a/standins/mimosaridge_fakes/jobloads.py
+++ b/standins/mimosaridge_fakes/jobloads.py
@@ -12,7 +12,6 @@
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
-from mimosaridge_core.jobs import work
 from mimosaridge_fakes import jobclusters
 
 LEDGER = "ledger"
@@ -25,6 +24,8 @@
 TICKET_S = 2.0
 # Bounds of a factor drawn for each job's size.
 LEAST_SIZE, MOST_SIZE = 0.5, 1.5
+# How many times as long the longest tasks run.
+TAIL_FACTOR = 7.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,9 +126,27 @@
     """
 
     def __init__(
-        self, factor: float, seed: int = 0, ledgers: int = 195, others: int = 76
+        self,
+        factor: float,
+        seed: int = 0,
+        ledgers: int = 195,
+        others: int = 76,
+        wrong: float = 0.0,
+        tail_share: float = 0.0,
     ) -> None:
+        """Starts the cluster.
+
+        Args:
+            factor: Multiple of the usual load.
+            seed: Seed of all random numbers.
+            ledgers: Number of workers of the larger back end.
+            others: Number of workers of the other one.
+            wrong: Largest share by which declared run times are off.
+            tail_share: Share of the tasks that run `TAIL_FACTOR` times as long.
+        """
         self.factor = factor
+        self.wrong = wrong
+        self.tail_share = tail_share
         self.rng = random.Random(seed)
         self.cluster = jobclusters.Cluster(daemons=1, workers=0, seed=seed)
         self.cluster.good_share = GOOD_SHARE
@@ -199,15 +218,24 @@
         step = dataclasses.replace(
             kind.step, tasks=max(1, round(kind.tasks * size))
         )
+        work_s = step.estimate_s
+        if self.wrong:
+            off = 1 + self.rng.uniform(-self.wrong, self.wrong)
+            step = dataclasses.replace(step, estimate_s=work_s * off)
+            self._set_run_times(job_id, step.tasks, work_s)
         self.cluster.submit(
             job_id, step, queue=kind.queue, backend=kind.backend
         )
-        job = self.cluster.jobs[job_id][0]
-        objective_s = (
-            kind.stretch * work.critical_paths_s(job)[0] + kind.target_s
-        )
+        objective_s = kind.stretch * work_s + kind.target_s
         self.open[job_id] = (kind, self.cluster.now, objective_s)
 
+    def _set_run_times(self, job_id: str, tasks: int, work_s: float) -> None:
+        for index in range(tasks):
+            is_long = self.rng.random() < self.tail_share
+            self.cluster.durations[model.task_id(job_id, 0, 0, index)] = (
+                work_s * (TAIL_FACTOR if is_long else 1.0)
+            )
+
     def _collect(self) -> None:
         now = self.cluster.now
         for job_id, (kind, submitted_at, objective_s) in list(
