--- a/tests/platform/platforms.py
+++ b/tests/platform/platforms.py
@@ -18,7 +18,7 @@
 STORE_PORT = 8683
 
 
-def settings_of(name, ip, store_ip):
+def settings_of(name, ip, store_ip, others=()):
     lines = {
         "nodeName": name,
         "ip": ip,
@@ -30,6 +30,7 @@
         "platform.address": f"{store_ip}:{STORE_PORT}",
         "recommendation": f"{store_ip}:{STORE_PORT}",
         "bounds.maxHoldMs": "6000",
+        **dict(others),
     }
     return "\n".join(f"{key}={value}" for key, value in lines.items())
 
@@ -64,12 +65,26 @@
     """A platform stand-in, its daemons and the last response to a caller.
 
     Attributes:
+        settings: Fields of the daemons' settings besides the common ones.
+        configuration: The operators' configuration.
+        environment: Variables of the daemons' environment besides the common
+            ones.
         job: Id of the current job.
         status: HTTP status of the last response to a caller.
         headers: Headers of the last response to a caller.
     """
 
-    def __init__(self, folder, network):
+    def __init__(
+        self,
+        folder,
+        network,
+        settings=(),
+        configuration=CONFIGURATION,
+        environment=(),
+    ):
+        self.settings = settings
+        self.configuration = configuration
+        self.environment = dict(environment)
         self.folder = folder
         self.network = network
         self.http = urllib3.PoolManager(retries=False)
@@ -100,11 +115,13 @@
         ip = f"127.{self.network}.1.{number}"
         name = f"front-{number}"
         settings = self.folder / f"{name}.conf"
-        settings.write_text(settings_of(name, ip, self.store_ip))
+        settings.write_text(settings_of(name, ip, self.store_ip, self.settings))
         with open(self.folder / f"{name}.log", "ab") as log:
             process = subprocess.Popen(
                 [sys.executable, str(ROOT / "mimosaridge.py"), "front"],
-                env=os.environ | {"MIMOSARIDGE_CONFIG": str(settings)},
+                env=os.environ
+                | self.environment
+                | {"MIMOSARIDGE_CONFIG": str(settings)},
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
@@ -118,7 +135,9 @@
             "the platform stand-in does not respond",
         )
         self.call_standin(
-            "POST", "/test/put", {"key": "op/config", "value": CONFIGURATION}
+            "POST",
+            "/test/put",
+            {"key": "op/config", "value": self.configuration},
         )
         for number in range(1, workers + 1):
             self.call_standin(
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -20,6 +20,8 @@
 
 STARTED_AT = time.monotonic()
 POLL_INTERVAL_S = 0.005
+# The largest value of the users' store is 1 MB, and more when encoded.
+bottle.BaseRequest.MEMFILE_MAX = 4_000_000
 
 
 def clock_ms():
