Bound what clients hold of a daemon's memory and descriptors

Cause: nothing bounded what all connections of a process hold together (docs/incidents/0040).

Ruled out: a pool of greenlets and refusing newcomers (the crowd is already in).

--- a/packages/core/mimosaridge_core/jobs/model.py
+++ b/packages/core/mimosaridge_core/jobs/model.py
@@ -203,6 +203,7 @@
         teams: Teams by name.
         team_of_secret: Name of the team by key.
         largest_body: Largest request body in bytes; 0 for no limit.
+        largest_head: Largest head of a request in bytes; 0 for no limit.
     """
 
     version: int
@@ -210,6 +211,7 @@
     teams: dict[str, Team]
     team_of_secret: dict[str, str]
     largest_body: int = 0
+    largest_head: int = 0
 
     def queue_of(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest matching prefix, or None."""
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -556,6 +556,7 @@
         settings_confirmed_at: Time up to which all changes of the configuration
             and of `zones_out` are known, steady seconds.
         table: Jobs by id.
+        table_bytes: About how much memory these jobs take, bytes.
         entries: Entries of the list of workers, by worker id.
         askers: Daemons that can call the advice service.
         bounds: The platform's time limits.
@@ -580,6 +581,7 @@
     zones_out: frozenset[str] = frozenset()
     settings_confirmed_at: float = 0.0
     table: dict[str, JobEntry] = dataclasses.field(default_factory=dict)
+    table_bytes: int = 0
     entries: dict[str, model.WorkerEntry] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -13,6 +13,10 @@
 from mimosaridge_core.jobs import unheldusage
 from mimosaridge_core.jobs import work
 
+# Memory of a job and of each of its steps beside their texts, bytes.
+JOB_BYTES = 1_000
+STEP_BYTES = 500
+
 
 @dispatch.handles(events.ConfigurationChanged)
 def change_configuration(
@@ -163,12 +167,22 @@
     if stored is not None:
         _set_progress(st, entry, *stored)
     st.table[job.job_id] = entry
+    st.table_bytes += _size(job)
     if st.owner is not None:
         unheldusage.invalidate(st.owner)
         work.add_job(st, st.owner, entry, out)
         runs.recognize(st, st.owner, job.job_id, out)
 
 
+def _size(job: model.Job) -> int:
+    """Returns about how much memory a job takes, bytes."""
+    texts = sum(
+        len(step.image) + len(step.label) + len(step.rack) + 8 * len(step.after)
+        for step in job.steps
+    )
+    return JOB_BYTES + len(job.content) + STEP_BYTES * len(job.steps) + texts
+
+
 def _cancel(st: state.State, job_id: str, out: list) -> None:
     entry = st.table.get(job_id)
     if entry is None or entry.cancelled:
@@ -180,6 +194,8 @@
 
 def _remove(st: state.State, job_id: str, out: list) -> None:
     entry = st.table.pop(job_id, None)
+    if entry is not None:
+        st.table_bytes -= _size(entry.job)
     if entry is not None and st.owner is not None:
         stopping.forget_job(st, st.owner, entry, out)
 
--- a/packages/daemon/mimosaridge_daemon/jobs/front.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/front.py
@@ -11,8 +11,10 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import settings
+from mimosaridge_daemon import admission
 from mimosaridge_daemon import codec
 from mimosaridge_daemon import guarding
+from mimosaridge_daemon import serving
 from mimosaridge_daemon.jobs import documents
 from mimosaridge_daemon.jobs import engine as engines
 from mimosaridge_daemon.jobs import messages
@@ -41,6 +43,18 @@
     return raw.encode("latin1").decode(errors="replace")
 
 
+def _read_body(largest: int) -> bytes:
+    """Returns the body of the request, up to a size in bytes; 0 for the usual.
+
+    Raises:
+        serving.BodyRefusedError: It is larger, or there is no memory for it.
+    """
+    reader = bottle.request.environ.get(serving.BODY)
+    if reader is None:
+        return bottle.request.body.read()
+    return reader.read(largest or admission.BODY_BYTES)
+
+
 class Front:
     """The HTTP API for callers.
 
@@ -169,7 +183,16 @@
             return self._empty_response(
                 http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
             )
-        body = bottle.request.body.read()
+        if self._is_table_full(bottle.request.content_length):
+            return self._refuse("the table of jobs is full")
+        try:
+            body = _read_body(largest)
+        except serving.BodyRefusedError as error:
+            if error.is_too_large:
+                return self._empty_response(
+                    http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+                )
+            return self._refuse("no memory for the body")
         try:
             job = submissions.decode(job_id, queue, team, body, time.time())
         except calls.MalformedError as error:
@@ -192,6 +215,16 @@
             return self._refuse("the store does not accept writes")
         return self._in_doubt(job_id, "no answer from the store")
 
+    def _is_table_full(self, size: int) -> bool:
+        """Returns whether a job of a size would fill all daemons' memory.
+
+        Small jobs, which most callers send, may use some more of it.
+        """
+        most = admission.TABLE_BYTES
+        if size > admission.SMALL_BODY_BYTES:
+            most = int(most * (1 - admission.SMALL_SHARE))
+        return self.engine.state.table_bytes + size > most
+
     def _write(
         self, request: calls.Request
     ) -> tuple[storecalls.WriteResult | None, int]:
--- a/packages/daemon/mimosaridge_daemon/jobs/main.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/main.py
@@ -8,6 +8,7 @@
 from gevent import event as gevent_event
 import logbook
 
+from mimosaridge_daemon import admission
 from mimosaridge_daemon import collector
 from mimosaridge_daemon import guarding
 from mimosaridge_daemon import serving
@@ -83,10 +84,23 @@
     """
     engine = engines.Engine(settings, PEER_SECRET)
     answers = serving.ResponseTracker(front.Front(engine).app)
+    limits = admission.Limits.of_machine(
+        settings.memory_mb or admission.DEFAULT_MEMORY_MB,
+        settings.descriptors or admission.DEFAULT_DESCRIPTORS,
+    )
     servers = [
-        serving.make_server(settings.front, answers),
-        serving.make_server(settings.readiness, _ready_app(engine)),
-        serving.make_server(f"{settings.ip}:{METRICS_PORT}", _metrics_app),
+        serving.make_server(
+            settings.front,
+            answers,
+            limits,
+            lambda: admission.largest_head(engine.state.configuration),
+        ),
+        serving.make_server(
+            settings.readiness, _ready_app(engine), admission.FEW
+        ),
+        serving.make_server(
+            f"{settings.ip}:{METRICS_PORT}", _metrics_app, admission.FEW
+        ),
     ]
     collector.configure()
     ended = gevent_event.Event()
--- a/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/telemetry.py
@@ -12,6 +12,7 @@
 import prometheus_client
 
 from mimosaridge_core.jobs import effects
+from mimosaridge_daemon import admission
 from mimosaridge_daemon import guarding
 from mimosaridge_daemon import logs
 
@@ -24,6 +25,7 @@
 
 REGISTRY = prometheus_client.CollectorRegistry()
 REGISTRY.register(guarding.ERRORS)
+REGISTRY.register(admission.CLOSED)
 DECISION_COUNT = prometheus_client.Counter(
     "mimosaridge_decisions", "Decisions by rule", ["rule"], registry=REGISTRY
 )
@@ -53,6 +55,7 @@
     "mimosaridge_answers": ("call", "status"),
     "mimosaridge_call_seconds": ("target",),
     "mimosaridge_unexpected_errors": ("task",),
+    "mimosaridge_closed_clients": ("reason",),
 }
 
 
--- a/packages/daemon/mimosaridge_daemon/pages.py
+++ b/packages/daemon/mimosaridge_daemon/pages.py
@@ -35,6 +35,21 @@
 2. The file is reloaded on SIGHUP and within a second of a change: the log
 message `reload` lists the changed fields; time limits take effect immediately,
 other fields at the next start; an invalid file is ignored (`reload refused`).
+`limits.memoryMb` and `limits.fileDescriptors` (160 and 1024 if absent) bound
+what the clients of a daemon may hold; the operators' `maxHeaderBytes` and
+`maxBodyBytes` bound one request, and 64 KiB and 1 MiB without them:
+
+| limit | default | a client inside the pages' limits |
+|---|---|---|
+| connections at a time | half of the descriptors beyond 200, or 15% of the memory at 128 kB each | keeps one |
+| bodies at a time | 15% of the memory, a quarter of it for bodies up to 16 KiB | sends one of 256 KiB at most |
+| head of a request | twice `maxHeaderBytes`, 10 s | 16 KiB, 3 s |
+| idle connection | 60 s | 15 s |
+| stored jobs | 32 MB in all | some MB a day |
+
+docs/design/0067 says what is closed or refused first.
+`MIMOSARIDGE_LEARN_RUN_TIMES=0` in the environment switches the learning of run
+times off (docs/design/0066); it is on by default.
 All other parameters are constants with their unit and source in
 `mimosaridge_core/jobs/tunables.py` or in the module that uses them. Metrics are
 served on port 9464.
--- a/packages/daemon/mimosaridge_daemon/peers.py
+++ b/packages/daemon/mimosaridge_daemon/peers.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import hmac
 import http
 import socket
@@ -34,9 +35,49 @@
 CLOSE_TIMEOUT_S = 1.0
 RECONNECT_DELAY_S = 0.3
 MAX_QUEUED_MESSAGES = 20_000
+# Connections at a time that have not shown the secret. A peer shows it in some
+# milliseconds; a pending connection takes three descriptors and at most 1 MB.
+MAX_PENDING_PEERS = 16
+HANDSHAKE_TIMEOUT_S = 5.0
 SECRET_HEADER = "X-Mimosaridge-Peer"
 
 
+class Listener(socket.socket):
+    """A listening socket with few connections that have not shown the secret.
+
+    Anybody may connect, and each connection may bring a head of a megabyte.
+    When there are too many, the oldest is ended.
+
+    Attributes:
+        pending: Connections that have not shown the secret, the oldest first.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__(socket.AF_INET, socket.SOCK_STREAM)
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.bind(address)
+        self.listen(MAX_PENDING_PEERS)
+        self.pending: list[socket.socket] = []
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Accepts a connection; ends the oldest pending one if too many."""
+        connection, address = super().accept()
+        self.pending = [each for each in self.pending if each.fileno() >= 0]
+        while len(self.pending) >= MAX_PENDING_PEERS:
+            with contextlib.suppress(OSError):
+                self.pending.pop(0).shutdown(socket.SHUT_RDWR)
+        self.pending.append(connection)
+        return connection, address
+
+    def admit(self, connection: socket.socket) -> None:
+        """Counts a connection no longer: it has shown the secret."""
+        self.pending = [
+            each
+            for each in self.pending
+            if each.fileno() != connection.fileno()
+        ]
+
+
 class OutgoingLink:
     """Sends messages to one peer in order, over one connection at a time."""
 
@@ -127,10 +168,11 @@
         self.last_message: Any = None
         self.last_encoded = b""
         host, _, port = address.rpartition(":")
+        self.listener = Listener((host, int(port)))
         self.server = server.serve(
             self._receive,
-            host,
-            int(port),
+            sock=self.listener,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
             compression=None,
             process_request=self._check_secret,
             ping_interval=INCOMING_PING_INTERVAL_S,
@@ -170,6 +212,7 @@
             return link.respond(
                 http.HTTPStatus.FORBIDDEN, "invalid peer secret\n"
             )
+        self.listener.admit(link.socket)
         return None
 
     def _receive(self, link: connection.Connection) -> None:
