Tell all daemons of ended jobs as soon as the messages a second allow

Cause: after a job's last write only the daemon that accepted it heard at once, all others 0.4 s later.

Change: the pause is the number of peers by 350 messages a second, 0.1 s with 37 daemons, 0.28 s with 97, at most 0.4 s.

--- a/tests/daemon/jobs/test_news.py
+++ b/tests/daemon/jobs/test_news.py
@@ -16,6 +16,7 @@
 
     def __init__(self, daemons, is_mesh=False):
         self.daemons = daemons
+        self.peers = dict.fromkeys(range(daemons))
         self.mesh = is_mesh
         self.sent = []
         self.broadcasts = []
@@ -50,13 +51,25 @@
         owner_news, peers = _news(97)
         for number in range(WRITES):
             owner_news.handle_stored({f"j{number}": (DONE, number)})
-        gevent.sleep(news.ENDS_PAUSE_S + 0.1)
+        gevent.sleep(news.MAX_ENDS_PAUSE_S + 0.1)
         self.assertEqual(1, len(peers.broadcasts))
         self.assertEqual(WRITES, len(peers.broadcasts[0].progress))
         owner_news.handle_stored({"later": (DONE, 99)})
-        gevent.sleep(news.ENDS_PAUSE_S + 0.1)
+        gevent.sleep(news.MAX_ENDS_PAUSE_S + 0.1)
         self.assertEqual(["later"], list(peers.broadcasts[1].progress))
 
+    def test_the_messages_a_second_are_bounded_and_the_pause_is_short(self):
+        pauses = []
+        for daemons in (10, 40, 97, 300):
+            owner_news, _ = _news(daemons)
+            pauses.append(owner_news.ends_pause_s())
+        for daemons, pause_s in zip((10, 40, 97), pauses, strict=False):
+            self.assertLessEqual(daemons / pause_s, news.MESSAGES_PER_S + 1)
+        # Callers ask each quarter of a second.
+        self.assertLess(pauses[1], 0.25)
+        self.assertEqual(sorted(pauses), pauses)
+        self.assertEqual(news.MAX_ENDS_PAUSE_S, pauses[-1])
+
     def test_messages_grow_with_the_daemons_not_with_the_writes_too(self):
         for daemons in (30, 100, 300):
             owner_news, peers = _news(daemons)
