Carry out operators' waves of upkeep

Cause: nothing read op/wave/N.

Change: upkeep.py decides, upkeeping.py and platform/machinecalls.py speak; docs/design/0068. The fake's tasks that last report 100 percent when they are at work, as the protocol says.

--- a/packages/core/mimosaridge_core/jobs/effects.py
+++ b/packages/core/mimosaridge_core/jobs/effects.py
@@ -139,6 +139,36 @@
     fleet: model.Fleet | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class ListMachines:
+    """Lists the platform's machines for an owner."""
+
+    token: int
+
+
+@dataclasses.dataclass(slots=True)
+class BeginUpkeep:
+    """Orders the upkeep of a machine; ends everything on it at once.
+
+    Attributes:
+        token: Fencing token of the owner.
+        wave: Number of the wave.
+        machine: Name of the machine.
+    """
+
+    token: int
+    wave: int
+    machine: str
+
+
+@dataclasses.dataclass(slots=True)
+class StoreWave:
+    """Stores how far a wave is and tells the operators."""
+
+    token: int
+    progress: model.WaveProgress
+
+
 @dataclasses.dataclass(slots=True)
 class StoreRunTimes:
     """Stores what was learned from finished runs if this is still the owner.
--- a/packages/core/mimosaridge_core/jobs/events.py
+++ b/packages/core/mimosaridge_core/jobs/events.py
@@ -196,6 +196,77 @@
     former_claimed_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class WavesChanged:
+    """The waves of upkeep that operators request have changed.
+
+    Attributes:
+        now: Steady time, seconds.
+        waves: All of them by number.
+    """
+
+    now: float
+    waves: dict[int, model.Wave]
+
+
+@dataclasses.dataclass(slots=True)
+class WaveProgressStored:
+    """An owner has stored how far a wave of upkeep is.
+
+    Attributes:
+        now: Steady time, seconds.
+        progress: How far it is.
+    """
+
+    now: float
+    progress: model.WaveProgress
+
+
+@dataclasses.dataclass(slots=True)
+class MachinesListed:
+    """The platform has listed its machines, or failed to.
+
+    Attributes:
+        now: Steady time, seconds.
+        token: Token of the owner that asked.
+        machines: The machines by name; None if they are not known.
+    """
+
+    now: float
+    token: int
+    machines: dict[str, model.Machine] | None
+
+
+class UpkeepResult(enum.StrEnum):
+    """Result of an order for the upkeep of a machine."""
+
+    BEGUN = "begun"  # Now or earlier.
+    NOT_IN_WAVE = "not-in-wave"  # No such machine, or not of this wave.
+    BUSY = "busy"  # The machine is not up, or leaving.
+    FENCED = "fenced"
+    REFUSED = "refused"  # Nothing was done.
+    UNKNOWN = "unknown"  # It may have begun.
+
+
+@dataclasses.dataclass(slots=True)
+class UpkeepAnswered:
+    """The platform has answered an order for the upkeep of a machine.
+
+    Attributes:
+        now: Steady time, seconds.
+        token: Token of the owner that ordered it.
+        wave: Number of the wave.
+        machine: Name of the machine.
+        result: The result.
+    """
+
+    now: float
+    token: int
+    wave: int
+    machine: str
+    result: UpkeepResult
+
+
 @dataclasses.dataclass(slots=True)
 class RunTimesRead:
     """A daemon about to own has read what former owners have learned.
--- a/packages/core/mimosaridge_core/jobs/model.py
+++ b/packages/core/mimosaridge_core/jobs/model.py
@@ -234,6 +234,8 @@
         keep_finished_s: How long callers may query a finished job.
         grace_s: Time between the termination signal and the kill.
         apply_s: Time in which a change of the configuration has to be in force.
+        upkeep_s: Time for which the upkeep of a machine takes it away.
+        turns_s: Time that passes between orders of two owners for a machine.
     """
 
     longest_lease_s: float = 6.0
@@ -242,6 +244,8 @@
     keep_finished_s: float = 120.0
     grace_s: float = 6.0
     apply_s: float = 2.0
+    upkeep_s: float = 2.0
+    turns_s: float = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -290,6 +294,55 @@
     routes: dict[str, tuple[str, ...]] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wave:
+    """An operators' request that machines have their upkeep.
+
+    Attributes:
+        number: Its number.
+        machines: Names of the machines.
+        within_s: Time in which all should begin, seconds.
+        most_down: Most of them that may be down at a time.
+    """
+
+    number: int
+    machines: tuple[str, ...]
+    within_s: float
+    most_down: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaveProgress:
+    """How far a wave is, stored so that it survives a change of owner.
+
+    Attributes:
+        number: Number of the wave.
+        begun_at: When an owner took it up, seconds since the Unix epoch.
+        begun: Machines whose upkeep has begun, or that are gone.
+        is_completed: Whether that holds for all of them.
+    """
+
+    number: int
+    begun_at: float
+    begun: tuple[str, ...] = ()
+    is_completed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Machine:
+    """A machine of a back end.
+
+    Attributes:
+        name: Its name.
+        is_up: Whether it is up, neither moving, down nor in upkeep.
+        worker_id: Id of its worker; empty if it has none.
+    """
+
+    name: str
+    is_up: bool
+    worker_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Expectation:
     """How long a task is expected to run on a worker of usual speed.
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -30,6 +30,7 @@
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import teamlimits
 from mimosaridge_core.jobs import tunables
+from mimosaridge_core.jobs import upkeep
 from mimosaridge_core.jobs import work
 
 # Interval at which a step that found no room is examined again on all workers:
@@ -179,6 +180,7 @@
             and not worker.entry.draining
             and worker.entry.zone not in st.zones_out
             and worker_id in stored
+            and not upkeep.is_emptied(owner, worker_id)
             and st.now >= worker.unhealthy_until
         ):
             backend = worker.entry.backend
--- a/packages/core/mimosaridge_core/jobs/reducer.py
+++ b/packages/core/mimosaridge_core/jobs/reducer.py
@@ -12,6 +12,7 @@
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import table
 from mimosaridge_core.jobs import ticking
+from mimosaridge_core.jobs import upkeep
 from mimosaridge_core.jobs import writing
 
 # Importing a module registers its handlers; the order must not matter.
@@ -25,6 +26,7 @@
     answers,
     table,
     ticking,
+    upkeep,
     writing,
 )
 
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -372,6 +372,39 @@
     low_since: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class Upkeep:
+    """What an owner knows of the waves of upkeep.
+
+    Attributes:
+        machines: The platform's machines by name, as last listed.
+        listed_at: When they were listed; 0 if they never were.
+        list_sent_at: When a list was last requested.
+        emptied: When a worker was closed to empty it for its upkeep, by id.
+        ordered: When the upkeep of a machine was last ordered, by wave and
+            name; until its answer the machine counts as down.
+        down_until: Until when a machine counts as down at least, by wave and
+            name.
+        retry_at: When a machine may be ordered again, by wave and name.
+        is_fenced: Whether another owner has given orders since.
+    """
+
+    machines: dict[str, model.Machine] = dataclasses.field(default_factory=dict)
+    listed_at: float = 0.0
+    list_sent_at: float = 0.0
+    emptied: dict[str, float] = dataclasses.field(default_factory=dict)
+    ordered: dict[tuple[int, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    down_until: dict[tuple[int, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    retry_at: dict[tuple[int, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    is_fenced: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class RunTimeErrors:
     """How far off expected run times were, as sums over finished runs.
@@ -470,6 +503,7 @@
         run_time_errors: How far off expected run times were, by queue, since
             the log last told.
         run_times_stored_at: When run times were last given to the store.
+        upkeep: State of the waves of upkeep.
     """
 
     token: int
@@ -532,6 +566,7 @@
         default_factory=dict
     )
     run_times_stored_at: float = 0.0
+    upkeep: Upkeep = dataclasses.field(default_factory=Upkeep)
 
     def next_incarnation(self) -> int:
         """Returns a number for an incarnation not known before."""
@@ -563,6 +598,8 @@
         learns_run_times: Whether expected run times are learned; otherwise the
             declared ones are used.
         run_times: What was learned from finished runs.
+        waves: Waves of upkeep that operators request, by number.
+        wave_progress: How far they are, by number.
         owner: The owner's state; None if this daemon is not the owner.
     """
 
@@ -591,4 +628,8 @@
     run_times: model.RunTimes = dataclasses.field(
         default_factory=model.RunTimes
     )
+    waves: dict[int, model.Wave] = dataclasses.field(default_factory=dict)
+    wave_progress: dict[int, model.WaveProgress] = dataclasses.field(
+        default_factory=dict
+    )
     owner: Owner | None = None
--- a/packages/core/mimosaridge_core/jobs/ticking.py
+++ b/packages/core/mimosaridge_core/jobs/ticking.py
@@ -13,6 +13,7 @@
 from mimosaridge_core.jobs import placement
 from mimosaridge_core.jobs import sharing
 from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import upkeep
 from mimosaridge_core.jobs import waiting
 from mimosaridge_core.jobs import work
 from mimosaridge_core.jobs import writing
@@ -68,6 +69,7 @@
     draining.check,
     answers.check,
     sharing.check,
+    upkeep.check,
     placement.place_waiting_tasks,
     writing.write_due,
     waiting.check,
--- a/packages/daemon/mimosaridge_daemon/jobs/documents.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/documents.py
@@ -14,6 +14,7 @@
 DAEMONS = f"{ROOT}daemon/"
 OWNER = f"{ROOT}owner"
 FLEET = f"{ROOT}workers"
+WAVES = f"{ROOT}wave/"
 # Outside of the prefix that all daemons follow: only new owners read it.
 RUN_TIMES = "mimosaridge-learned/run-times"
 
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -34,6 +34,7 @@
 from mimosaridge_daemon.jobs import routing
 from mimosaridge_daemon.jobs import storage
 from mimosaridge_daemon.jobs import telemetry
+from mimosaridge_daemon.jobs import upkeeping
 from mimosaridge_daemon.jobs import workerlinks
 from mimosaridge_platform import advicecalls
 from mimosaridge_platform import calls
@@ -145,6 +146,13 @@
             self.news.handle_stored,
             self.ownership.handle_confirmation,
         )
+        self.upkeeping = upkeeping.Upkeeping(
+            settings.name,
+            settings.machines,
+            self.store,
+            self.post,
+            lambda: self.ownership.token,
+        )
         self.reader = reading.Reader(
             self.post, self.ownership, self.peering, self.recorder
         )
@@ -161,6 +169,9 @@
             effects.AskAdvice: self._ask_advice,
             effects.WriteProgress: self._write_progress,
             effects.StoreRunTimes: self.recorder.store_run_times,
+            effects.ListMachines: self.upkeeping.list_machines,
+            effects.BeginUpkeep: self.upkeeping.begin,
+            effects.StoreWave: self.upkeeping.store_wave,
             effects.Resign: lambda effect: self.ownership.resign(
                 effect.token, effect.reason
             ),
--- a/packages/daemon/mimosaridge_daemon/jobs/reading.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/reading.py
@@ -19,6 +19,7 @@
 from mimosaridge_platform import calls
 from mimosaridge_platform import configurations
 from mimosaridge_platform import discovery
+from mimosaridge_platform import machinecalls
 from mimosaridge_platform import storecalls
 
 LOG = logbook.Logger("reading")
@@ -51,19 +52,24 @@
         self.fleet_revision = 0
         self.is_fleet_readable = True
         self.zones_out: frozenset[str] = frozenset()
+        self.waves: dict[str, model.Wave] = {}
 
     def load_operator_settings(self, page: storecalls.Page) -> None:
         """Loads all settings of operators."""
         zones = set()
+        waves = {}
         for item in page.items:
             zone = configurations.evacuated_zone(item.key)
             if zone:
                 zones.add(zone)
+            elif item.key.startswith(machinecalls.WAVE_PREFIX):
+                self._decode_wave(item, waves)
             elif item.key == storecalls.CONFIGURATION_KEY:
                 guarding.attempt(
                     "configuration", self._apply_configuration, item
                 )
         self._set_zones_out(frozenset(zones))
+        self._set_waves(waves)
 
     def apply_operator_change(self, item: storecalls.Item) -> None:
         """Applies a change to the settings of operators."""
@@ -74,6 +80,28 @@
             self._set_zones_out(self.zones_out | {zone})
         elif item.key == storecalls.CONFIGURATION_KEY:
             self._apply_configuration(item)
+        elif item.key.startswith(machinecalls.WAVE_PREFIX):
+            waves = dict(self.waves)
+            waves.pop(item.key, None)
+            self._decode_wave(item, waves)
+            self._set_waves(waves)
+
+    def _decode_wave(
+        self, item: storecalls.Item, waves: dict[str, model.Wave]
+    ) -> None:
+        """Adds a wave under its key unless it is removed or malformed."""
+        if item.value is None:
+            return
+        try:
+            waves[item.key] = machinecalls.decode_wave(item.value)
+        except calls.MalformedError as error:
+            LOG.error("{}", error, extra={"key": item.key})
+
+    def _set_waves(self, waves: dict[str, model.Wave]) -> None:
+        if waves != self.waves:
+            self.waves = waves
+            by_number = {wave.number: wave for wave in waves.values()}
+            self.post(events.WavesChanged(time.monotonic(), by_number))
 
     def _set_zones_out(self, zones: frozenset[str]) -> None:
         self.zones_out = zones
@@ -207,6 +235,9 @@
             self.peering.add(entry.name, entry.url, entry.cores, entry.zone)
         elif item.key == documents.FLEET and item.value is not None:
             self._update_fleet(item)
+        elif item.key.startswith(documents.WAVES) and item.value is not None:
+            progress = documents.decode(model.WaveProgress, item.value)
+            self.post(events.WaveProgressStored(time.monotonic(), progress))
 
     def _update_fleet(self, item: storecalls.Item) -> None:
         """Updates the fleet unless a newer one was read: watches lag."""
--- a/packages/daemon/mimosaridge_daemon/pages.py
+++ b/packages/daemon/mimosaridge_daemon/pages.py
@@ -41,8 +41,8 @@
 
 | limit | default | a client inside the pages' limits |
 |---|---|---|
-| connections at a time | half of the descriptors beyond 200, or 15% of the memory at 128 kB each | keeps one |
-| bodies at a time | 15% of the memory, a quarter of it for bodies up to 16 KiB | sends one of 256 KiB at most |
+| connections | half of the descriptors beyond 200; 15% of memory | keeps one |
+| bodies at a time | 15% of memory, a quarter for small ones | 256 KiB |
 | head of a request | twice `maxHeaderBytes`, 10 s | 16 KiB, 3 s |
 | idle connection | 60 s | 15 s |
 | stored jobs | 32 MB in all | some MB a day |
--- a/standins/mimosaridge_fakes/jobcalls.py
+++ b/standins/mimosaridge_fakes/jobcalls.py
@@ -292,7 +292,7 @@
         if job_id in cluster.hopeless:
             run_outcome = model.RunOutcome.FAILED
         elif step.standing:
-            duration_s = 1e9
+            duration_s = jobworkers.LASTING_S
         elif cluster.rng.random() < cluster.faults.failed_run_share:
             run_outcome = model.RunOutcome.FAILED
         was_running = (order.task_id, order.run) in worker.running
--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -6,6 +6,7 @@
 violations are collected in `violations`.
 """
 
+from collections.abc import Callable
 import dataclasses
 import functools
 import heapq
@@ -55,6 +56,8 @@
         listed: Ids of workers in the daemons' worker lists.
         configurations: Times, in seconds, and configurations delivered then.
         run_times: Run times that an owner has stored last.
+        handle_other: Executes the effects of a daemon on neither workers nor
+            jobs.
         known_jobs: All jobs ever submitted, by id.
         team_of_job: Their teams.
         durations: Run times of tasks that differ from the estimate of their
@@ -110,6 +113,7 @@
         self.listed: set[str] = set()
         self.workers: dict[str, jobworkers.Worker] = {}
         self.run_times = model.RunTimes()
+        self.handle_other: Callable[[int, object], None] = lambda *_: None
         self.daemons = [state.State() for _ in range(daemons)]
         for number in range(workers):
             self.add_worker(f"w{number}")
@@ -483,6 +487,8 @@
             if effect.rule == "tick-failed":
                 error = effect.fields["error"]
                 self.checks.violations.append(f"FAULT {error}")
+        else:
+            self.handle_other(number, effect)
 
     def is_good(self, group: str, worker_id: str) -> bool:
         """Returns whether the advice service approves of a worker."""
--- a/standins/mimosaridge_fakes/jobworkers.py
+++ b/standins/mimosaridge_fakes/jobworkers.py
@@ -16,6 +16,11 @@
 ENDS_PER_ANSWER = 500
 
 
+# Tasks of at least this duration last; they are at work after a startup.
+LASTING_S = 1e9
+STARTUP_S = 0.3
+
+
 @dataclasses.dataclass(slots=True)
 class Running:
     """A run on a worker.
@@ -48,7 +53,9 @@
     pace: int = 100
 
     def percent(self, now: float) -> int:
-        """Returns its progress in percent."""
+        """Returns its progress in percent; 100 if it lasts and is at work."""
+        if self.duration_s >= LASTING_S:
+            return 100 if now >= self.started_at + STARTUP_S else 0
         if self.ends_at == math.inf:
             return 0
         remaining = max(0.0, self.ends_at - now) / self.duration_s
