Let teams above their share yield while not all work can be in time

Cause: within a priority only the latest start counted, so a team that asks for many times its usual made all others late with it; and a job that could end just at its objective counted as in time, although a start, an end and its write take some time: under overload all jobs of the lane missed it by little.

--- a/packages/core/mimosaridge_core/jobs/model.py
+++ b/packages/core/mimosaridge_core/jobs/model.py
@@ -115,6 +115,27 @@
     advice: AdviceSettings | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shortage:
+    """Where not all work can be in time, and which teams yield there.
+
+    Attributes:
+        queues: Back ends and priorities of which some work is late.
+        teams: Teams that use more than their share.
+    """
+
+    queues: frozenset[tuple[str, int]] = frozenset()
+    teams: frozenset[str] = frozenset()
+
+    def yields(self, queue: Queue, team: str) -> bool:
+        """Returns whether a team's work in a queue yields to others'."""
+        is_short = (queue.backend, queue.priority) in self.queues
+        return is_short and team in self.teams
+
+
+NO_SHORTAGE = Shortage()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
     """A job as accepted; immutable.
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -25,6 +25,7 @@
 from mimosaridge_core.jobs import reserving
 from mimosaridge_core.jobs import runtimes
 from mimosaridge_core.jobs import settings
+from mimosaridge_core.jobs import shares
 from mimosaridge_core.jobs import starting
 from mimosaridge_core.jobs import starvation
 from mimosaridge_core.jobs import state
@@ -111,10 +112,11 @@
         for group in waiting
         if group.reserved and group.key not in due_keys
     ]
+    shortage = shares.shortage(st, owner, waiting)
     ranked = sorted(
         (
             not starvation.is_owed_advice(st, group),
-            ranking.rank(st, owner, group),
+            ranking.rank(st, owner, group, shortage),
             group.key,
             group,
         )
--- a/packages/core/mimosaridge_core/jobs/ranking.py
+++ b/packages/core/mimosaridge_core/jobs/ranking.py
@@ -45,20 +45,31 @@
     USELESS = 2
 
 
-def rank(st: state.State, owner: state.Owner, group: state.Group) -> tuple:
+def rank(
+    st: state.State,
+    owner: state.Owner,
+    group: state.Group,
+    shortage: model.Shortage = model.NO_SHORTAGE,
+) -> tuple:
     """Returns the sort key of a group; the smallest is placed first.
 
     Jobs within their team's rate precede jobs beyond it; then the priority
     decides. Within a priority, jobs that can still meet their objective precede
     late ones, and these precede those that are of no more use; all of them are
-    completed. Within a lane the earlier latest start decides.
+    completed. Within a lane, teams within their share go first while work is
+    late, and then the earlier latest start decides.
     """
-    queue = settings.queue_of(st, st.table[group.job_id].job)
+    job = st.table[group.job_id].job
+    queue = settings.queue_of(st, job)
     if queue is None:
-        return (True, LOWEST_PRIORITY, Lane.USELESS, group.ready_at)
-    over_rate = group.job_id in owner.over_rate
-    lane = lane_of(st, group, queue)
-    return (over_rate, queue.priority, lane, latest_start(st, group, queue))
+        return (True, LOWEST_PRIORITY, Lane.USELESS, True, group.ready_at)
+    return (
+        group.job_id in owner.over_rate,
+        queue.priority,
+        lane_of(st, group, queue),
+        shortage.yields(queue, job.team),
+        latest_start(st, group, queue),
+    )
 
 
 def lane_of(st: state.State, group: state.Group, queue: model.Queue) -> Lane:
@@ -68,7 +79,7 @@
     the bounds leave time to finish: without it all would miss them by little.
     """
     target = completion_target(st, group, queue)
-    if st.wall + _least_work_s(group) <= target:
+    if st.wall + _least_work_s(group) + ROUTE_S <= target:
         return Lane.IN_TIME
     due = work.due_at(st.table[group.job_id].job, group.repetition)
     useful_until = due + USEFUL_OBJECTIVES * (target - due)
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -504,6 +504,8 @@
             the log last told.
         run_times_stored_at: When run times were last given to the store.
         upkeep: State of the waves of upkeep.
+        shortage: Where not all work can be in time, as last found.
+        shortage_at: When that was.
     """
 
     token: int
@@ -567,6 +569,8 @@
     )
     run_times_stored_at: float = 0.0
     upkeep: Upkeep = dataclasses.field(default_factory=Upkeep)
+    shortage: model.Shortage = model.NO_SHORTAGE
+    shortage_at: float = 0.0
 
     def next_incarnation(self) -> int:
         """Returns a number for an incarnation not known before."""
