Learn workers' speeds only from steps whose tasks are all done

Cause: each run was compared with the tasks of its step that had ended before it, which are the shorter ones. The test shuffled the ends, which no run does.

Change: speeds are learned once a step is done, from the mean of all its tasks.

Test: test_tasks_that_end_later_do_not_make_their_workers_slow.

--- a/packages/core/mimosaridge_core/jobs/records.py
+++ b/packages/core/mimosaridge_core/jobs/records.py
@@ -106,3 +106,18 @@
         default_factory=dict
     )
     is_fenced: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FinishedRun:
+    """A run of a task that has ended as done.
+
+    Attributes:
+        worker_id: Id of the worker.
+        log_s: Logarithm of its time in seconds.
+        length_log_s: The same on a worker of usual speed.
+    """
+
+    worker_id: str
+    log_s: float
+    length_log_s: float
--- a/packages/core/mimosaridge_core/jobs/runtimes.py
+++ b/packages/core/mimosaridge_core/jobs/runtimes.py
@@ -192,7 +192,7 @@
     if group is not None and group.finished:
         count = len(group.finished)
         certainty = 1 / variance + count / SIBLING_VARIANCE
-        siblings = sum(group.finished.values())
+        siblings = sum(run.length_log_s for run in group.finished.values())
         mean = (mean / variance + siblings / SIBLING_VARIANCE) / certainty
         variance = SIBLING_VARIANCE + 1 / certainty
         runs += count
@@ -287,8 +287,8 @@
     worker_id = run.worker_id
     length = took + math.log(speed(st, worker_id))
     length = min(declared + MAX_LOG_OFF, max(declared - MAX_LOG_OFF, length))
-    _learn_speed(st, worker_id, group, took)
-    group.finished[index] = length
+    group.finished[index] = records.FinishedRun(worker_id, took, length)
+    _learn_speeds(st, group)
     # The tasks of a wide step weigh less: they tell of one piece of work.
     weight = 1 / math.sqrt(group.step.tasks)
     learned = st.run_times
@@ -300,20 +300,28 @@
     _add(queue, st.wall, weight, (1.0, declared, length, *squares))
 
 
-def _learn_speed(
-    st: state.State, worker_id: str, group: state.Group, took: float
-) -> None:
-    """Learns from a run how fast its worker is, by other tasks of the step."""
-    if group.step.gang or not group.finished:
-        return
-    lengths = group.finished.values()
-    off = took - sum(lengths) / len(lengths)
-    if abs(off) > MAX_SPEED_OFF:
+def _learn_speeds(st: state.State, group: state.Group) -> None:
+    """Learns from a step whose tasks are all done how fast its workers are.
+
+    Not before: the tasks that end first are the shorter ones, and each later
+    one would make its worker seem slow.
+    """
+    runs = group.finished.values()
+    if group.step.gang or not 1 < len(runs) == group.step.tasks:
         return
-    sums = _latest(
-        st.run_times.workers, worker_id, WORKER_SUMS, MAX_WORKERS, st.wall
-    )
-    _add(sums, st.wall, 1.0, (1.0, off))
+    mean = sum(run.log_s for run in runs) / len(runs)
+    for run in runs:
+        off = run.log_s - mean
+        if abs(off) > MAX_SPEED_OFF:
+            continue
+        sums = _latest(
+            st.run_times.workers,
+            run.worker_id,
+            WORKER_SUMS,
+            MAX_WORKERS,
+            st.wall,
+        )
+        _add(sums, st.wall, 1.0, (1.0, off))
 
 
 def is_valid(learned: model.RunTimes, wall: float) -> bool:
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -245,8 +245,7 @@
             seconds.
         job_work_s: Expected critical path of the whole job, seconds.
         expected: Expected run time of a task.
-        finished: Logarithms of the run times, in seconds, of tasks that have
-            ended as done, by index.
+        finished: Runs of tasks that have ended as done, by index.
     """
 
     job_id: str
@@ -277,7 +276,9 @@
     remaining_work_s: float = 0.0
     job_work_s: float = 0.0
     expected: model.Expectation = model.Expectation()
-    finished: dict[int, float] = dataclasses.field(default_factory=dict)
+    finished: dict[int, records.FinishedRun] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def key(self) -> str:
--- a/tests/core/jobs/test_runtimes.py
+++ b/tests/core/jobs/test_runtimes.py
@@ -199,6 +199,21 @@
         for index in range(5):
             self.assertGreater(runtimes.speed(st, f"w{index}"), 0.8)
 
+    def test_tasks_that_end_later_do_not_make_their_workers_slow(self):
+        st, rng = _state(), random.Random(3)
+        for number in range(200):
+            job = _job(1.0, tasks=10, job_id=f"j{number}")
+            group = _group(job)
+            took = sorted(rng.uniform(0.5, 1.5) for _ in range(10))
+            workers = [f"w{index}" for index in range(10)]
+            rng.shuffle(workers)
+            for index in range(10):
+                _learn(st, job, group, index, took[index], workers[index])
+        for index in range(10):
+            self.assertLess(abs(runtimes.speed(st, f"w{index}") - 1), 0.1)
+        expected = runtimes.expectation(st, _job(1.0), 0, None)
+        self.assertLess(abs(math.log(expected.usual_s)), 0.15)
+
     def test_what_is_remembered_is_bounded(self):
         st = _state()
         for number in range(3 * runtimes.MAX_QUEUES):
