--- a/packages/daemon/mimosaridge_daemon/clients.py
+++ b/packages/daemon/mimosaridge_daemon/clients.py
@@ -10,9 +10,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 NO_ROOM = 507
-# The store's pages and values have about 1 MB, and more when encoded; a watch
-# may tell of some of them.
-MAX_ANSWER_BYTES = 16_000_000
 DEFAULT_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -71,21 +68,6 @@
         return False
 
 
-def _read(response: urllib3.BaseHTTPResponse) -> bytes:
-    """Returns the body of a response and returns its connection to the pool.
-
-    Raises:
-        urllib3.exceptions.HTTPError: The body is larger than any that the
-            platform, a worker or a peer sends, or can't be read.
-    """
-    content = response.read(MAX_ANSWER_BYTES + 1)
-    if len(content) > MAX_ANSWER_BYTES:
-        response.close()
-        raise urllib3.exceptions.HTTPError("the answer is too large")
-    response.release_conn()
-    return content
-
-
 class Client:
     """Calls one base URL over a bounded pool of connections."""
 
@@ -143,9 +125,7 @@
                 retries=False,
                 timeout=urllib3.Timeout(connect=connect_s, read=timeout_s),
                 pool_timeout=timeout_s,
-                preload_content=False,
             )
-            content = _read(response)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -155,7 +135,7 @@
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             reason = f"{type(error).__name__}: {error}"
             return result.Err(Failure(reason, is_sent=True))
-        return result.Ok((response.status, content))
+        return result.Ok((response.status, response.data))
 
     def close(self) -> None:
         """Closes all idle connections."""
