--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,68 +1,54 @@
-"""A refused repetition of an order takes one machine too many down."""
+"""A wave is said to be completed before any of its machines has begun."""
 
 import asyncio
 import pathlib
-from typing import Any
 
 import deployment
 
-MOST_DOWN = 1
-WAVE = {
-    "wave": 1,
-    "machines": ["m-1", "m-2", "m-3"],
-    "withinS": 30,
-    "upperLimit": MOST_DOWN,
-}
-# An order to the platform without an answer is carried out 2 to 12 s later.
-LATE_S = 3.5
+NEW = "m-9"
+# Time for a new worker to be known to the daemons, seconds.
+KNOWN_S = 6.0
+# Time in which the upkeep could still begin, seconds.
+PATIENCE_S = 10.0
 
 
-class Unavailable:
-    """Loses the answer to the first order; refuses the second one.
-
-    Attributes:
-        orders: Number of orders so far.
-    """
-
-    def __init__(self, here: deployment.Deployment) -> None:
-        self.here = here
-        self.orders = 0
-
-    async def tamper(self, name: str, wave: int, token: int) -> Any:
-        """Decides about an order."""
-        self.orders += 1
-        if self.orders == 1:
-            loop = asyncio.get_running_loop()
-            loop.create_task(self._carry_out_late(name, wave, token))
-            await asyncio.sleep(LATE_S)
-            return None
-        if self.orders == 2:
-            return 503, {}
-        return "go"
-
-    async def _carry_out_late(self, name: str, wave: int, token: int) -> None:
-        await asyncio.sleep(LATE_S)
-        reply = self.here.cloud.carry_out(name, wave, token)
-        self.here.record("late-order", name, token, reply)
+def _wave(number: int, machine: str) -> dict:
+    return {
+        "wave": number,
+        "machines": [machine],
+        "withinS": 20,
+        "upperLimit": 1,
+    }
 
 
 async def case(here: deployment.Deployment) -> list[str]:
-    """Lets the platform be unavailable as a wave begins."""
+    """Adds a machine between two waves; the second one is about it."""
     for number in range(1, 6):
         fields = deployment.worker_fields(number)
         await here.cloud.add(f"m-{number}", fields)
+    if not here.trouble:
+        await here.cloud.add(NEW, deployment.worker_fields(9))
     await here.start(3)
     await asyncio.sleep(4)
-    if here.trouble:
-        here.cloud.tamper = Unavailable(here).tamper
-    await here.store.put("op/wave/1", WAVE)
-    await here.wait(lambda: here.is_wave_completed(1), 80, "wave 1")
+    await here.store.put("op/wave/1", _wave(1, "m-1"))
+    await here.wait(lambda: here.is_wave_completed(1), 40, "wave 1")
     here.record("status/wave/1", "completed")
+    if here.trouble:
+        await here.cloud.add(NEW, deployment.worker_fields(9))
+    await asyncio.sleep(KNOWN_S)
+    await here.store.put("op/wave/2", _wave(2, NEW))
+    here.record("op/wave/2", "written")
+    await here.wait(lambda: here.is_wave_completed(2), 40, "wave 2")
+    here.record("status/wave/2", "completed")
+    machine = here.cloud.machines[NEW]
+    has_begun = 2 in machine.waves
+    await asyncio.sleep(PATIENCE_S)
+    here.record("begun", NEW, has_begun, "later", 2 in machine.waves)
+    if has_begun:
+        return []
     return [
-        f"LIMIT: the upkeep of {name} began while {down} of its wave were "
-        f"down for theirs; upperLimit is {MOST_DOWN}"
-        for _, _, name, down in here.cloud.begun
-        if down >= MOST_DOWN
+        f"MIXED: wave 2 was said to be completed, {NEW} is {machine.state} "
+        "and had not begun its upkeep"
     ]
 
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,110 +1,119 @@
-"""One tenant's schedule keeps all other work from being started."""
+"""A late start runs in the next life of its worker, beside another run."""
 
 import asyncio
 import pathlib
 import time
 
 import deployment
+import http_server
+import worker_pool
 
-WORKERS = 18
-# A task each 10 s since a day ago: all these occurrences are due. Together
-# they take 86 of the service's 576 cores.
-SCHEDULE = "5c0e7a21d94b36f8"
-INTERVAL_S = 10
-OCCURRENCES = 8640
-HOUR_S = 3600
-SHORT = {"count": 1, "cpu": 10, "estimatedMs": 500}
-# Jobs of another tenant, which last.
-WATCHES = [f"a41b0c77e2903d{number:02x}" for number in range(8)]
-WATCH_INTERVAL_S = 4.0
-LASTING = {
-    "count": 2,
-    "cpu": 1000,
-    "memoryRequestMb": 256,
+JOB = "5c0e7a21d94b36f8"
+STEP = {"count": 1, "cpu": 4000, "memoryRequestMb": 1024, "estimatedMs": 20000}
+WORKERS = 12
+# The start is carried out 5 s after it was sent, as the worker comes back: the
+# pages say 2 to 12 s. One of 12 workers crashes (0.083), for 2 s; the site has
+# 0.14, for 4.5 s.
+CRASH_AFTER_S = 3.0
+DOWN_S = 2.0
+# A job that makes another worker the fullest, so that the task goes there next.
+OTHER = "a41b0c77e2903d15"
+OTHER_STEP = {
+    "count": 1,
+    "cpu": 8000,
+    "memoryRequestMb": 1024,
     "estimatedMs": 600,
     "longRunning": True,
+    "requirements": "b",
 }
-# The rule allows 3 s without a run; the other 4 s have to be calm before, and
-# 3 s more are granted here.
-LONGEST_WAIT_S = 3.0 + 4.0 + 3.0
-OBSERVED_S = 50.0
-
-
-def _schedule(is_overdue: bool) -> dict:
-    now = time.time()
-    first = now - OCCURRENCES * INTERVAL_S if is_overdue else now + HOUR_S
-    return {
-        "taskSpec": '{"s": 0.5}',
-        "steps": [SHORT],
-        "repeatCount": OCCURRENCES,
-        "intervalMs": INTERVAL_S * 1000,
-        "firstRunMs": int(first * 1000),
-    }
-
-
-async def _hand_in(
-    here: deployment.Deployment, job_id: str, fields: dict, key: str
-) -> float:
-    """Hands a job in, again while the answer is none, 503 or 504.
-
-    Returns:
-        When it was accepted, monotonic seconds; 0 if it was not.
+
+
+class LateStart:
+    """Keeps the first start back that reaches a worker.
+
+    Attributes:
+        machine: Name of the machine that it was for; empty before.
+        request: The start.
     """
-    for attempt in range(8):
-        daemon = here.live()[attempt % len(here.live())]
-        path = deployment.PREFIX + job_id
-        status, _ = await here.call(daemon, "POST", path, fields, key)
-        if status == 200:
-            return time.monotonic()
-        if status not in (0, 503, 504):
-            break
-        await asyncio.sleep(1)
-    return 0.0
-
-
-async def _watch(
-    here: deployment.Deployment, number: int, until: float
-) -> float:
-    """Hands one of the other tenant's jobs in; returns how long it waits."""
-    await asyncio.sleep(number * WATCH_INTERVAL_S)
-    job_id = WATCHES[number]
-    fields = {"taskSpec": '{"s": 0}', "steps": [LASTING]}
-    accepted_at = await _hand_in(here, job_id, fields, deployment.OTHER_KEY)
-    if not accepted_at:
-        here.record("not accepted", job_id)
-        return 0.0
-    while not here.running(job_id) and time.monotonic() < until:
-        await asyncio.sleep(0.02)
-    waited_s = time.monotonic() - accepted_at
-    has_run = bool(here.running(job_id))
-    here.record("waited", job_id, f"{waited_s:.1f} s", f"has run: {has_run}")
-    return waited_s
+
+    def __init__(self, here: deployment.Deployment) -> None:
+        self.here = here
+        self.machine = ""
+        self.request: http_server.Request | None = None
+        self.came = asyncio.Event()
+
+    def watch(self, name: str, worker: worker_pool.Worker) -> None:
+        """Watches the calls to a worker."""
+
+        async def receive_late(request: http_server.Request) -> bool:
+            is_start = request.path == "/v1/run-start"
+            if not is_start or self.machine:
+                return False
+            self.machine, self.request = name, request
+            self.here.record("start-late", name, request.json()["task"])
+            self.came.set()
+            await asyncio.sleep(CRASH_AFTER_S)
+            return True
+
+        worker.receive_late = receive_late
+
+
+async def _crash_and_return(
+    here: deployment.Deployment, late: LateStart
+) -> None:
+    """Crashes the worker; its next life gets the late start."""
+    machine = here.cloud.machines[late.machine]
+    former = machine.worker
+    port = int(former.server.address.partition(":")[2])
+    here.record("crash", machine.name, former.worker_id)
+    former.is_up = False
+    former.running.clear()
+    former.server.close()
+    await asyncio.sleep(DOWN_S)
+    worker = worker_pool.Worker(
+        here.store, former.worker_id, machine.fields, here.record
+    )
+    await worker.start(here.platform_ip, port)
+    machine.worker = worker
+    here.record("back", machine.name, worker.worker_id)
+    reply = await worker.handle(late.request)
+    here.record("late-start", machine.name, reply)
 
 
 async def case(here: deployment.Deployment) -> list[str]:
-    """Hands a schedule in, and then jobs of another tenant."""
+    """Lets a start be late by 5 s, and its worker crash meanwhile."""
+    late = LateStart(here)
     for number in range(1, WORKERS + 1):
         fields = deployment.worker_fields((number + 4) // 5)
+        if number == 7:
+            fields["labels"][0] = "b"
         await here.cloud.add(f"m-{number}", fields)
+        if here.trouble:
+            machine = here.cloud.machines[f"m-{number}"]
+            late.watch(machine.name, machine.worker)
     await here.start(3)
-    await asyncio.sleep(5)
-    fields = _schedule(here.trouble)
-    if not await _hand_in(here, SCHEDULE, fields, deployment.KEY):
-        raise deployment.Unable("the schedule was not accepted")
-    await asyncio.sleep(2)
-    until = time.monotonic() + OBSERVED_S
-    waits = await asyncio.gather(
-        *(_watch(here, number, until) for number in range(len(WATCHES)))
-    )
-    claims = sum(key == "mimosaridge/owner" for _, key, _ in here.store.writes)
-    here.record("claims of ownership in the store", claims)
-    return [
-        f"LOST: the job {job_id} was accepted and had nothing running for "
-        f"{waited_s:.1f} s, without any disruption; the owner changed "
-        f"{claims - 1} times"
-        for job_id, waited_s in zip(WATCHES, waits, strict=True)
-        if waited_s > LONGEST_WAIT_S
-    ]
+    await asyncio.sleep(4)
+    path = deployment.PREFIX + JOB
+    fields = {"taskSpec": '{"s": 20}', "steps": [STEP]}
+    status, _ = await here.call(here.live()[0], "POST", path, fields)
+    if status != 200:
+        raise deployment.Unable(f"the job got {status}")
+    if here.trouble:
+        await asyncio.wait_for(late.came.wait(), 10)
+        other = {"taskSpec": '{"s": 0}', "steps": [OTHER_STEP]}
+        other_path = deployment.PREFIX + OTHER
+        await here.call(here.live()[0], "POST", other_path, other)
+        await asyncio.sleep(CRASH_AFTER_S)
+        asyncio.create_task(_crash_and_return(here, late))
+    broken: list[str] = []
+    until = time.monotonic() + 10
+    while time.monotonic() < until:
+        names = here.running(JOB)
+        if len(names) > 1 and not broken:
+            broken.append(f"TWICE: {JOB}.0.0.0 runs on {names} at once")
+        await asyncio.sleep(0.005)
+    await here.call(here.live()[0], "GET", path)
+    return broken
 
 
 deployment.run(case, pathlib.Path(__file__).parent)
--- a/review/lab/worker_pool.py
+++ b/review/lab/worker_pool.py
@@ -50,6 +50,8 @@
         worker_id: Its id.
         starts: Runs begun, as time, task and run.
         running: Runs by task and run.
+        receive_late: Called with each call; returns whether it gets no answer
+            and is not carried out now.
     """
 
     def __init__(
@@ -74,7 +76,8 @@
         self.state = "ready"
         self.sequence = 0
         self.is_up = True
-        self.server = http_server.Server(self.handle)
+        self.server = http_server.Server(self.receive)
+        self.receive_late = _in_time
         self.news = asyncio.Event()
 
     async def start(self, host: str, port: int = 0) -> None:
@@ -147,8 +150,14 @@
         self.record("end", self.worker_id, run.task, run.run, how)
         self.news.set()
 
+    async def receive(self, request: http_server.Request) -> http_server.Reply:
+        """Answers a call unless it is late."""
+        if await self.receive_late(request):
+            return None
+        return await self.handle(request)
+
     async def handle(self, request: http_server.Request) -> http_server.Reply:
-        """Answers a call."""
+        """Carries out a call."""
         if request.headers.get("x-expected-instance") != self.worker_id:
             return 421, {"clockMs": self.clock_ms()}
         body = request.json()
@@ -217,3 +226,7 @@
             "running": rows,
             "ended": self.ended[:ENDS_PER_ANSWER],
         }
+
+
+async def _in_time(request: http_server.Request) -> bool:
+    return False
