--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -5,10 +5,12 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
+import traceback
 from typing import Any
 
 import http_server
@@ -26,6 +28,8 @@
 # Time after which a case is given up, seconds.
 LONGEST_S = 110.0
 BROKEN, HELD, UNABLE = 1, 0, 2
+# Held by the script that uses a network of loopback addresses.
+RESERVED_PORT = 8679
 PORTS = {"front": 8686, "readiness": 8689}
 
 CONFIGURATION = {
@@ -114,6 +118,24 @@
             self.process.send_signal(number)
 
 
+def _reserve_network() -> tuple[socket.socket, int]:
+    """Returns a network 127.N that no other script uses, and its hold on it.
+
+    Daemons of two deployments on one network would find each other.
+    """
+    for _ in range(100):
+        network = random.randrange(2, 250)
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{network}.0.1", RESERVED_PORT))
+            reservation.listen()
+        except OSError:
+            reservation.close()
+            continue
+        return reservation, network
+    raise Unable("no network is free")
+
+
 class Deployment:
     """The daemons, the platform and the record of what was seen.
 
@@ -128,7 +150,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        network = random.randrange(2, 250)
+        self.reservation, network = _reserve_network()
         self.network = network
         self.platform_ip = f"127.{network}.0.1"
         self.store = kv_store.Store()
@@ -280,8 +302,13 @@
             one line each.
         folder: Folder of the case, for the record.
     """
+    result = UNABLE
     with tempfile.TemporaryDirectory() as temporary:
-        sys.exit(asyncio.run(_run(case, folder, pathlib.Path(temporary))))
+        try:
+            result = asyncio.run(_run(case, folder, pathlib.Path(temporary)))
+        except Exception:
+            traceback.print_exc()
+    sys.exit(result)
 
 
 async def _run(case: Any, folder: pathlib.Path, temporary: pathlib.Path) -> int:
@@ -296,6 +323,7 @@
         result = UNABLE
     finally:
         deployment.stop()
+        deployment.reservation.close()
     deployment.record("exit", result)
     (folder / "record.txt").write_text("\n".join(deployment.lines) + "\n")
     return result
