--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -145,6 +145,8 @@
         cloud: The platform's machines.
         daemons: The daemons by name.
         lines: The record.
+        settings: Fields of the settings that differ from those of
+            cstrp-ledger.
     """
 
     def __init__(self, folder: pathlib.Path) -> None:
@@ -157,6 +159,7 @@
         self.cloud = machines.Cloud(self.store, self.platform_ip, self.record)
         self.daemons: dict[str, Daemon] = {}
         self.lines: list[str] = []
+        self.settings: dict[str, str] = {}
         self.began_at = time.monotonic()
 
     def record(self, *columns: object) -> None:
@@ -212,6 +215,7 @@
         }
         for name, port in PORTS.items():
             fields[f"listenAddresses.{name}"] = f"{daemon.ip}:{port}"
+        fields |= self.settings
         return "".join(f"{name}={value}\n" for name, value in fields.items())
 
     async def _all_ready(self) -> bool:
