Keep the task of an unanswered start at its worker

Cause: a stop, a list or a lease of one incarnation was taken for what the id stands for, while a call to that id could still arrive for 12 s.

A start without an answer is now sent again as the same run, and its task starts on no other worker until it can no longer arrive. A crash then ends all runs of the task, and the first hold finds a late one. The same holds for runs that are moved, for gangs and, through the fleet, for the next owner.

Tests that failed on the code before, with TWICE, or another run or no wait in place of a repetition: eight in test_late_starts.py and test_late_leases.py. The known red one of test_late_leases demanded the task's start on the other worker 8 s after a start that may come 12 s late, which is the fault itself; it now demands one run through crashes of 0.3, 2 and 6 s. In test_late_answers a stop now comes from a cancelled job, as an unanswered start no longer causes one.

--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -1,20 +1,25 @@
 """Handles workers' answers to start and stop calls and retries stops."""
 
+from mimosaridge_core.jobs import advice_calls
 from mimosaridge_core.jobs import dispatch
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import incarnations
+from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import resigning
 from mimosaridge_core.jobs import runs
+from mimosaridge_core.jobs import starting
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
+from mimosaridge_core.jobs import teamlimits
 from mimosaridge_core.jobs import tunables
+from mimosaridge_core.jobs import usableworkers
 
 # Delay before a step is placed again after a worker refused one of its tasks:
 # long enough for that worker's next answer to a hold call.
 REFUSAL_BACKOFF_S = 0.1
-# Interval of the search for unanswered stops: a fraction of `STOP_RETRY_S`.
+# Interval of the search for unanswered calls: a fraction of `STOP_RETRY_S`.
 STOP_CHECK_INTERVAL_S = 0.1
 
 
@@ -57,6 +62,7 @@
     is_unknown = event.result == events.CallResult.UNKNOWN
     if is_unknown or event.is_repeated:
         leases.add_unanswered_start(st, worker, run)
+        _record_late_start(st, owner, run, event, out)
     else:
         run.is_start_answered = True
     if event.result != events.CallResult.DONE:
@@ -76,7 +82,7 @@
             run.acknowledged_at = st.now
         runs.mark_begun(st, owner, event.task_id)
     elif event.result == events.CallResult.UNKNOWN:
-        stopping.stop(st, owner, worker, run, "start was not answered", out)
+        _handle_unanswered_start(st, owner, worker, run, out)
     elif event.result == events.CallResult.OTHER_INCARNATION:
         is_present = event.incarnation == worker.incarnation
         if not is_present or not incarnations.end(st, owner, worker, out):
@@ -86,6 +92,81 @@
         _handle_refusal(st, owner, worker, run, event, out)
 
 
+def _record_late_start(
+    st: state.State,
+    owner: state.Owner,
+    run: state.Run,
+    event: events.StartAnswered,
+    out: list,
+) -> None:
+    """Records that a start may be carried out late.
+
+    The only call for a run that its worker has listed was carried out. An agent
+    may make a call of its own until its failure is noticed.
+    """
+    if event.is_repeated:
+        latestarts.record(st, owner, run, st.now, out)
+    elif not run.is_listed:
+        latestarts.record(st, owner, run, run.started_at, out)
+
+
+def _handle_unanswered_start(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    run: state.Run,
+    out: list,
+) -> None:
+    """Repeats a start without an answer as soon as its worker takes starts.
+
+    A stop would hold for the present incarnation of the worker only.
+    """
+    if run.phase != state.Phase.STARTING:
+        return
+    group = owner.groups.get(run.task_id.rpartition(".")[0])
+    if group is None or not _may_repeat(st, owner, worker, run, group):
+        stopping.stop(st, owner, worker, run, "start was not answered", out)
+        return
+    run.is_unanswered = True
+    if usableworkers.is_startable(st, owner, worker):
+        entry = st.table[group.job_id]
+        starting.repeat_start(st, owner, entry, group, worker, run, out)
+
+
+def _may_repeat(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    run: state.Run,
+    group: state.Group,
+) -> bool:
+    """Returns whether a start without an answer is to be sent again."""
+    has_ticket = (
+        not group.needs_ticket
+        or advice_calls.valid_ticket(st, group, run.worker_id) is not None
+    )
+    return (
+        has_ticket
+        and not group.step.speculative
+        and latestarts.may_repeat(owner, run)
+        and usableworkers.is_staying(st, owner, worker)
+        and not _has_other_run(group, run)
+        and not teamlimits.is_exceeded(st, owner, st.table[group.job_id])
+    )
+
+
+def _has_other_run(group: state.Group, run: state.Run) -> bool:
+    """Returns whether the task of a run has another one.
+
+    The next incarnation of its worker may have begun an earlier one.
+    """
+    return any(
+        other.task_id == run.task_id and other is not run
+        for others in group.runs.values()
+        for other in others
+    )
+
+
 def _handle_refusal(
     st: state.State,
     owner: state.Owner,
@@ -130,12 +211,14 @@
 
 
 def check(st: state.State, owner: state.Owner, out: list) -> None:
-    """Retries stop calls that were not answered in time."""
+    """Retries calls that were not answered in time."""
     if st.now - owner.stops_checked_at < STOP_CHECK_INTERVAL_S:
         return
     owner.stops_checked_at = st.now
     for worker in owner.workers.values():
-        for run in worker.runs.values():
+        for run in list(worker.runs.values()):
+            if run.is_unanswered:
+                _handle_unanswered_start(st, owner, worker, run, out)
             is_stopping = run.phase in (
                 state.Phase.STOPPING,
                 state.Phase.IN_DOUBT,
--- a/packages/core/mimosaridge_core/jobs/fitting.py
+++ b/packages/core/mimosaridge_core/jobs/fitting.py
@@ -1,7 +1,9 @@
 """Chooses workers with room for tasks; changes nothing."""
 
+import collections
 from collections import abc
 import heapq
+import types
 
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import state
@@ -44,6 +46,13 @@
         for worker in self.workers.values():
             self._push(worker)
 
+    def choose_bound(self, worker_id: str) -> state.Worker | None:
+        """Returns a worker if a task that is bound to it fits there."""
+        worker = self.workers.get(worker_id)
+        if worker is None or self._score(worker) is None:
+            return None
+        return worker
+
     def choose(self, index: int) -> state.Worker | None:
         """Returns the best worker for a task, or None if it fits on none.
 
@@ -119,13 +128,31 @@
     group: state.Group,
     workers: list[state.Worker],
     reserved: abc.Set[str],
-    count: int,
+    indexes: list[int],
     may_share: bool = False,
-) -> list[state.Worker] | None:
-    """Returns a worker for each task of a gang; None if they don't all fit."""
+    bound: abc.Mapping[int, str] = types.MappingProxyType({}),
+) -> dict[int, state.Worker] | None:
+    """Returns workers for the tasks of a gang; None if they don't all fit.
+
+    Args:
+        group: The step.
+        workers: Workers on which its tasks may run.
+        reserved: Workers that it must not use.
+        indexes: The tasks.
+        may_share: Whether backfill and serving tasks may share a worker.
+        bound: Workers of the tasks that may start on no other.
+
+    Returns:
+        The workers by task.
+    """
     needs = work.reserved_resources(group.step)
-    assigned: list[state.Worker] = []
-    limit = group.step.most_per_worker or count
+    limit = group.step.most_per_worker or len(indexes)
+    free = [index for index in indexes if index not in bound]
+    bound_to = collections.defaultdict(list)
+    for index in indexes:
+        if index in bound:
+            bound_to[bound[index]].append(index)
+    assigned: dict[int, state.Worker] = {}
     ordered = sorted(
         workers,
         key=lambda worker: (
@@ -140,12 +167,14 @@
         if interferes(group, worker) and not may_share:
             continue
         available = worker.entry.capacity - worker.used
-        added = 0
-        while len(assigned) < count and added < limit and needs.fits(available):
-            assigned.append(worker)
+        own = bound_to[worker.entry.worker_id]
+        for index in (own + free)[:limit]:
+            if not needs.fits(available):
+                break
+            assigned[index] = worker
             available = available - needs
-            added += 1
-        if len(assigned) == count:
+        free = [index for index in free if index not in assigned]
+        if len(assigned) == len(indexes):
             return assigned
     return None
 
@@ -158,8 +187,8 @@
 ) -> bool:
     """Returns whether one waiting task, or the whole gang, has room now."""
     if group.step.gang:
-        count = len(group.waiting)
-        assigned = assign_gang(group, workers, reserved, count, may_share)
+        indexes = sorted(group.waiting)
+        assigned = assign_gang(group, workers, reserved, indexes, may_share)
         return assigned is not None
     needs = work.reserved_resources(group.step)
     return any(
--- a/packages/core/mimosaridge_core/jobs/fleets.py
+++ b/packages/core/mimosaridge_core/jobs/fleets.py
@@ -7,6 +7,7 @@
 delays only those jobs.
 """
 
+from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import timing
@@ -36,7 +37,12 @@
         jobs = _closed_jobs(st, owner, worker_id)
         if jobs is not None:
             closed[worker_id] = jobs
-    return model.Fleet(tuple(sorted(ids)), closed, _current_routes(st, owner))
+    return model.Fleet(
+        tuple(sorted(ids)),
+        closed,
+        _current_routes(st, owner),
+        latestarts.stored(owner),
+    )
 
 
 def _current_routes(
--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -11,6 +11,7 @@
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import incarnations
+from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import resigning
@@ -370,6 +371,7 @@
     Only leases that were over when nobody had claimed after this owner: a
     successor that it doesn't know of may have renewed the others.
     """
+    latestarts.forget_settled(st, owner)
     for worker_id, worker in list(owner.workers.items()):
         is_expired = 0 < worker.lease_ends_at < owner.proven_at
         if is_expired and worker.runs:
--- /dev/null
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -0,0 +1,179 @@
+"""Starts without an answer that their worker may still carry out.
+
+A worker refuses a start once it has listed, ended or stopped that run, but it
+may start again under its id, and the next incarnation has seen neither the stop
+nor a fencing token. Until the first hold of that incarnation, a start that is
+still on its way runs there. So a start without an answer is repeated at the
+worker as the same run, and until it can no longer arrive, the task starts on no
+other worker: whatever ends an incarnation ends the task's run there, too.
+
+The fleet stores these tasks, so that a new owner knows them.
+"""
+
+from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import leases
+from mimosaridge_core.jobs import model
+from mimosaridge_core.jobs import records
+from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import tunables
+
+# Most calls without an answer for one run, which is stopped then.
+MAX_UNANSWERED = 6
+# Stands for the start of an incarnation where there is none.
+NO_INCARNATION = -1
+# Largest difference between the times of day of two machines, seconds.
+MAX_CLOCK_ERROR_S = 2.0
+
+
+def record(
+    st: state.State,
+    owner: state.Owner,
+    run: state.Run,
+    sent_at: float,
+    out: list,
+) -> None:
+    """Records a call to start a run that has no answer.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        run: The run.
+        sent_at: When the call was sent at the latest.
+        out: Effects.
+    """
+    until = sent_at + tunables.LATE_CALL_S
+    before = owner.late_starts.get(run.task_id)
+    if until <= st.now or (before is not None and until <= before.until):
+        return
+    is_same_worker = before is not None and before.worker_id == run.worker_id
+    unanswered = 1 + (before.unanswered if is_same_worker else 0)
+    owner.late_starts[run.task_id] = records.LateStart(
+        run.worker_id,
+        run.run,
+        until,
+        round(st.wall + until - st.now, 1),
+        unanswered,
+    )
+    effects.log_decision(
+        out,
+        "start-may-be-late",
+        job_id=run.task_id.partition(".")[0],
+        task_id=run.task_id,
+        run=run.run,
+        worker=run.worker_id,
+        unanswered=unanswered,
+        left_s=round(until - st.now, 2),
+    )
+
+
+def record_lost_run(
+    st: state.State,
+    owner: state.Owner,
+    run: state.Run,
+    refused_by: int,
+    out: list,
+) -> None:
+    """Records a run that has ended without an end that its worker has listed.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        run: The run; its start may still have no answer.
+        refused_by: Start of the incarnation that may refuse the run now: it
+            has ended or was stopped there.
+        out: Effects.
+    """
+    if not run.is_start_answered and not run.is_listed:
+        record(st, owner, run, run.started_at, out)
+    late = owner.late_starts.get(run.task_id)
+    if late is not None and late.run == run.run:
+        late.refused_by = refused_by
+
+
+def record_listed_end(owner: state.Owner, run: state.Run) -> None:
+    """Records that a run has ended, so that it never starts again."""
+    late = owner.late_starts.get(run.task_id)
+    if late is not None and late.run == run.run:
+        late.refused_by = None
+
+
+def may_repeat(owner: state.Owner, run: state.Run) -> bool:
+    """Returns whether a start without an answer may be sent again."""
+    late = owner.late_starts.get(run.task_id)
+    return late is not None and late.unanswered < MAX_UNANSWERED
+
+
+def restore(st: state.State, owner: state.Owner, fleet: model.Fleet) -> None:
+    """Records what a former owner has stored."""
+    for task_id, (worker_id, run, until_wall) in fleet.late_starts.items():
+        left_s = until_wall - st.wall + MAX_CLOCK_ERROR_S
+        until = st.now + min(left_s, tunables.LATE_CALL_S)
+        owner.late_starts[task_id] = records.LateStart(
+            worker_id, run, until, until_wall, unanswered=1
+        )
+
+
+def stored(owner: state.Owner) -> dict[str, tuple[str, int, float]]:
+    """Returns what the fleet stores of these starts, by task id."""
+    return {
+        task_id: (late.worker_id, late.run, late.until_wall)
+        for task_id, late in sorted(owner.late_starts.items())
+    }
+
+
+def forget_settled(st: state.State, owner: state.Owner) -> None:
+    """Forgets the starts that can neither arrive nor have begun a run."""
+    settled = [
+        task_id
+        for task_id, late in owner.late_starts.items()
+        if late.until < st.now and _is_settled(st, owner, late)
+    ]
+    for task_id in settled:
+        del owner.late_starts[task_id]
+
+
+def _is_settled(
+    st: state.State, owner: state.Owner, late: records.LateStart
+) -> bool:
+    """Returns whether a run that a start has begun at last is known or over.
+
+    The worker lists it or, if that is out of reach, its lease has expired.
+    """
+    worker = owner.workers.get(late.worker_id)
+    is_listed = worker is not None and worker.held and not worker.unanswered
+    if is_listed and worker.answered_at > late.until:
+        return True
+    return st.now > late.until + leases.start_s(st)
+
+
+def bound_tasks(owner: state.Owner, group: state.Group) -> dict[int, str]:
+    """Returns the waiting tasks that may start on one worker only, with it.
+
+    The worker is empty for a task that may start nowhere for now. Copies of a
+    speculative step may run beside each other.
+    """
+    if not owner.late_starts or group.step.speculative:
+        return {}
+    bound = {}
+    for index in group.waiting:
+        late = owner.late_starts.get(f"{group.key}.{index}")
+        if late is not None:
+            may_start = late.unanswered < MAX_UNANSWERED
+            bound[index] = late.worker_id if may_start else ""
+    return bound
+
+
+def resumable_run(
+    owner: state.Owner, group: state.Group, index: int
+) -> int | None:
+    """Returns the run as which a bound task starts; None for a new one.
+
+    The run was lost with an incarnation of its worker, and the present one does
+    not refuse it. As the same run, a start that is still on its way can't begin
+    another one beside it.
+    """
+    late = owner.late_starts[f"{group.key}.{index}"]
+    worker = owner.workers.get(late.worker_id)
+    if late.refused_by is None or worker is None or group.step.gang:
+        return None
+    return late.run if worker.born != late.refused_by else None
--- a/packages/core/mimosaridge_core/jobs/leases.py
+++ b/packages/core/mimosaridge_core/jobs/leases.py
@@ -36,6 +36,11 @@
         assume_longest(st, worker)
 
 
+def start_s(st: state.State) -> float:
+    """Returns after what time the lease of a start has expired, seconds."""
+    return _lasts_s(_start_lease_s(st))
+
+
 def assume_longest(st: state.State, worker: state.Worker) -> None:
     """Assumes the longest lease, which other calls may have requested."""
     longest_s = _lasts_s(st.bounds.longest_lease_s)
@@ -111,7 +116,8 @@
 def may_start_late(st: state.State, run: state.Run) -> bool:
     """Returns whether the start of a run may be carried out late, or was.
 
-    An acknowledged stop prevents it.
+    An acknowledged stop prevents it in the incarnation that acknowledged it;
+    `latestarts` is about the next ones.
     """
     if run.is_start_answered or run.is_listed or run.acknowledged_at:
         return False
--- a/packages/core/mimosaridge_core/jobs/model.py
+++ b/packages/core/mimosaridge_core/jobs/model.py
@@ -308,11 +308,16 @@
             they may still run.
         routes: Back ends whose workers may run tasks of a queue, by queue;
             besides those that its jobs were accepted for.
+        late_starts: Calls to start a run that may still be carried out, by task
+            id: the worker, the number of the run, and until when, Unix seconds.
     """
 
     workers: tuple[str, ...] = ()
     closed: dict[str, tuple[str, ...]] = dataclasses.field(default_factory=dict)
     routes: dict[str, tuple[str, ...]] = dataclasses.field(default_factory=dict)
+    late_starts: dict[str, tuple[str, int, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/mimosaridge_core/jobs/ownership.py
+++ b/packages/core/mimosaridge_core/jobs/ownership.py
@@ -6,6 +6,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import fleets
 from mimosaridge_core.jobs import holds
+from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import unheldusage
 from mimosaridge_core.jobs import work
@@ -27,6 +28,7 @@
     owner.unheld = dict.fromkeys(event.fleet.workers, unheld_until)
     owner.unheld_jobs = dict(event.fleet.closed)
     owner.routes = dict(event.fleet.routes)
+    latestarts.restore(st, owner, event.fleet)
     owner.open_to_former = (
         frozenset(event.fleet.workers) - event.fleet.closed.keys()
     )
--- a/packages/core/mimosaridge_core/jobs/placement.py
+++ b/packages/core/mimosaridge_core/jobs/placement.py
@@ -19,6 +19,7 @@
 from mimosaridge_core.jobs import advice_calls
 from mimosaridge_core.jobs import fitting
 from mimosaridge_core.jobs import fleets
+from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import preemption
 from mimosaridge_core.jobs import ranking
@@ -216,9 +217,9 @@
         is_owed = _is_owed_failing_workers(st, owner, current, group, backend)
         asked = startable if is_owed else pool
         _request_advice(st, owner, current, group, advice, asked, out)
-    allowed = teamlimits.allowed_tasks(
-        st, owner, entry, group.step.needs, len(group.waiting)
-    )
+    # Other workers have no use for the tasks that are bound to one.
+    free = len(group.waiting) - len(latestarts.bound_tasks(owner, group))
+    allowed = teamlimits.allowed_tasks(st, owner, entry, group.step.needs, free)
     group.reserved = reserving.workers_to_reserve(
         st, owner, group, pool, allowed, current.standing
     )
@@ -477,12 +478,24 @@
     group.is_limited = allowed < len(group.waiting)
     speeds = runtimes.speed_classes(st, entry, workers)
     chooser = fitting.Chooser(group, workers, reserved, may_share, speeds)
-    for index in sorted(group.waiting)[:allowed][:most]:
-        worker = chooser.choose(index)
-        if worker is None:
+    bound = latestarts.bound_tasks(owner, group)
+    left = allowed if most is None else min(allowed, most)
+    for index in sorted(group.waiting):
+        if not left:
             break
-        run = starting.next_run_number(owner)
+        run = None
+        if index in bound:
+            worker = chooser.choose_bound(bound[index])
+            if worker is None:
+                continue
+            run = latestarts.resumable_run(owner, group, index)
+        else:
+            worker = chooser.choose(index)
+            if worker is None:
+                break
+        run = run or starting.next_run_number(owner)
         starting.start_task(st, owner, entry, group, index, worker, run, out)
+        left -= 1
     return not group.waiting
 
 
@@ -498,6 +511,7 @@
 ) -> bool:
     """Starts all tasks of a gang at once, or none."""
     indexes = sorted(group.waiting)
+    bound = latestarts.bound_tasks(owner, group)
     allowed = teamlimits.allowed_tasks(
         st, owner, entry, group.step.needs, len(indexes)
     )
@@ -513,13 +527,13 @@
         ] + [workers]
     for option in options:
         assigned = fitting.assign_gang(
-            group, option, reserved, len(indexes), may_share
+            group, option, reserved, indexes, may_share, bound
         )
         if assigned is not None:
             run = starting.next_run_number(owner)
-            for index, worker in zip(indexes, assigned, strict=True):
+            for index in indexes:
                 starting.start_task(
-                    st, owner, entry, group, index, worker, run, out
+                    st, owner, entry, group, index, assigned[index], run, out
                 )
             return True
     return False
--- a/packages/core/mimosaridge_core/jobs/records.py
+++ b/packages/core/mimosaridge_core/jobs/records.py
@@ -19,6 +19,28 @@
     lease_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class LateStart:
+    """Calls to start a run that have no answer and may still be carried out.
+
+    Attributes:
+        worker_id: Worker that they were sent to.
+        run: Number of the run.
+        until: Until when the latest of them may be carried out.
+        until_wall: The same as Unix seconds.
+        unanswered: Number of these calls.
+        refused_by: Start of the incarnation that may refuse the run after it
+            was lost; None while it goes on and after a listed end.
+    """
+
+    worker_id: str
+    run: int
+    until: float
+    until_wall: float
+    unanswered: int
+    refused_by: int | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Ticket:
     """Permission of the advice service to run a step on a worker."""
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -4,6 +4,7 @@
 
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import runtimes
 from mimosaridge_core.jobs import settings
@@ -246,6 +247,7 @@
     group = owner.groups.get(f"{entry.job.job_id}.{repetition}.{number}")
     if group is not None and run is not None:
         _remove_from_group(group, index, run)
+        _record_late_start(st, owner, worker, run, evidence, out)
     if entry.job.job_id not in owner.jobs:
         return
     if evidence == EndEvidence.LISTED:
@@ -273,6 +275,25 @@
         _requeue(st, owner, group, index, row.run, out)
 
 
+def _record_late_start(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    run: state.Run,
+    evidence: EndEvidence,
+    out: list,
+) -> None:
+    """Records the end of a run whose start may still have no answer."""
+    if evidence == EndEvidence.LISTED:
+        latestarts.record_listed_end(owner, run)
+        return
+    refused_by = worker.born
+    if evidence == EndEvidence.NOT_LISTED and not run.why_stopped:
+        # A former incarnation had it, and the present one doesn't know it.
+        refused_by = latestarts.NO_INCARNATION
+    latestarts.record_lost_run(st, owner, run, refused_by, out)
+
+
 def mark_lost(
     st: state.State,
     owner: state.Owner,
--- a/packages/core/mimosaridge_core/jobs/starting.py
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -33,7 +33,6 @@
     """Records a new run of a task and sends the start call."""
     worker_id = worker.entry.worker_id
     task = model.task_id(group.job_id, group.repetition, group.number, index)
-    ticket = group.tickets.get(worker_id)
     saved = group.progress.saved.get(0 if group.step.gang else index, "")
     run = state.Run(
         task,
@@ -54,22 +53,7 @@
     sharing.begin(st, worker, run)
     group.runs.setdefault(index, []).append(run)
     group.waiting.discard(index)
-    start_before_ms = leases.clock_ms(st, worker) + tunables.START_WINDOW_MS
-    leases.extend_by_start(st, worker)
-    out.append(
-        effects.Start(
-            worker_id,
-            worker.entry.address,
-            owner.token,
-            task,
-            number,
-            entry.job.content,
-            saved,
-            ticket.text if ticket else "",
-            start_before_ms,
-            worker.incarnation,
-        )
-    )
+    _send(st, owner, entry, group, worker, run, out)
     effects.log_decision(
         out,
         "start",
@@ -83,3 +67,60 @@
         resumed=bool(saved),
         unheld=len(owner.unheld),
     )
+
+
+def repeat_start(
+    st: state.State,
+    owner: state.Owner,
+    entry: state.JobEntry,
+    group: state.Group,
+    worker: state.Worker,
+    run: state.Run,
+    out: list,
+) -> None:
+    """Sends the start of a run again after a call without an answer.
+
+    A worker that has the run answers as if it had started it now.
+    """
+    run.started_at = run.percent_at = st.now
+    run.is_unanswered = False
+    # When the run has begun is unknown.
+    run.is_timed = False
+    _send(st, owner, entry, group, worker, run, out)
+    effects.log_decision(
+        out,
+        "start-repeated",
+        job_id=group.job_id,
+        task_id=run.task_id,
+        run=run.run,
+        worker=run.worker_id,
+    )
+
+
+def _send(
+    st: state.State,
+    owner: state.Owner,
+    entry: state.JobEntry,
+    group: state.Group,
+    worker: state.Worker,
+    run: state.Run,
+    out: list,
+) -> None:
+    """Sends the call that starts a run."""
+    ticket = group.tickets.get(run.worker_id)
+    start_before_ms = leases.clock_ms(st, worker) + tunables.START_WINDOW_MS
+    leases.extend_by_start(st, worker)
+    out.append(
+        effects.Start(
+            run.worker_id,
+            worker.entry.address,
+            owner.token,
+            run.task_id,
+            run.run,
+            entry.job.content,
+            run.saved,
+            ticket.text if ticket else "",
+            start_before_ms,
+            worker.incarnation,
+        )
+    )
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -37,7 +37,7 @@
         team_needs: Resources that count toward its team's upper limit; for
             backfill they include its processor time.
         phase: Current phase.
-        started_at: When the owner sent the start or first saw the run.
+        started_at: When the owner last sent the start or first saw the run.
         acknowledged_at: When the worker confirmed the latest start or stop;
             0 if it has not.
         stop_sent_at: When a stop was last sent.
@@ -48,6 +48,7 @@
         is_listed: Whether its worker has listed it as running.
         is_start_answered: Whether the start was answered; if not, it may be
             carried out late.
+        is_unanswered: Whether the start got no answer and has to be repeated.
         is_timed: Whether this owner has started it, without a checkpoint, so
             that its time is that of the whole task.
         target_ms: Latency target of its step, milliseconds; 0 for none.
@@ -76,6 +77,7 @@
     why_stopped: str = ""
     is_listed: bool = False
     is_start_answered: bool = False
+    is_unanswered: bool = False
     is_timed: bool = False
     target_ms: int = 0
     fills: bool = False
@@ -391,6 +393,8 @@
         over_rate: Jobs submitted beyond their team's weight.
         repeating: Unfinished jobs with repetitions.
         forgotten: Jobs that left the table while their tasks ran.
+        late_starts: Calls to start tasks that may still be carried out, by
+            task id.
         unknown_ends: Ended runs of jobs that are not in the table, by job.
         asked: Number of calls for advice made.
         freed: Workers on which runs have ended since the last placement.
@@ -452,6 +456,9 @@
     over_rate: set[str] = dataclasses.field(default_factory=set)
     repeating: set[str] = dataclasses.field(default_factory=set)
     forgotten: set[str] = dataclasses.field(default_factory=set)
+    late_starts: dict[str, records.LateStart] = dataclasses.field(
+        default_factory=dict
+    )
     unknown_ends: dict[str, list[UnknownEnd]] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/core/mimosaridge_core/jobs/teamlimits.py
+++ b/packages/core/mimosaridge_core/jobs/teamlimits.py
@@ -18,10 +18,7 @@
     if team is None or team.upper_limit == resources.ZERO:
         return requested
     limit = team.upper_limit
-    used = owner.usage.get(team.name, resources.ZERO)
-    used = used + unheldusage.usage(st, owner, team.name)
-    # A run of a job that is not known yet may be the team's.
-    used = used + owner.usage.get(state.UNKNOWN_TEAM, resources.ZERO)
+    used = _used(st, owner, team.name)
     for limit_amount, used_amount, task_amount in (
         (limit.cpu_millis, used.cpu_millis, needs.cpu_millis),
         (limit.memory_mib, used.memory_mib, needs.memory_mib),
@@ -34,6 +31,30 @@
     return requested
 
 
+def _used(
+    st: state.State, owner: state.Owner, team: str
+) -> resources.Resources:
+    """Returns the most that a team may have running."""
+    used = owner.usage.get(team, resources.ZERO)
+    used = used + unheldusage.usage(st, owner, team)
+    # A run of a job that is not known yet may be the team's.
+    return used + owner.usage.get(state.UNKNOWN_TEAM, resources.ZERO)
+
+
+def is_exceeded(
+    st: state.State, owner: state.Owner, entry: state.JobEntry
+) -> bool:
+    """Returns whether a job's team has more than its upper limit running."""
+    team = settings.team_of(st, entry.job.team)
+    if team is None:
+        return False
+    limit, used = team.upper_limit, _used(st, owner, team.name)
+    return any(
+        0 < getattr(limit, name) < getattr(used, name)
+        for name in resources.NAMES
+    )
+
+
 def is_over_limit(
     st: state.State,
     owner: state.Owner,
--- a/packages/core/mimosaridge_core/jobs/usableworkers.py
+++ b/packages/core/mimosaridge_core/jobs/usableworkers.py
@@ -26,22 +26,44 @@
     startable: dict[str, dict[str, state.Worker]] = {}
     stored = fleets.usable_workers(owner)
     for worker_id, worker in owner.workers.items():
-        if (
-            worker.held
-            and worker.clock_at
-            and worker.listed
-            and not worker.unanswered
-            # The next incarnation may have another capacity and other labels.
-            and worker.born in (0, worker.entry.born)
-            and not worker.former_holds
-            and not worker.entry.draining
-            and worker.entry.zone not in st.zones_out
-            and worker_id in stored
-            and not upkeep.is_emptied(owner, worker_id)
-            and st.now >= worker.unhealthy_until
-        ):
+        if worker_id in stored and _takes_starts(st, owner, worker):
             backend = worker.entry.backend
             startable.setdefault(backend, {})[worker_id] = worker
             if st.now >= worker.backoff_until:
                 usable.setdefault(backend, {})[worker_id] = worker
     return usable, startable
+
+
+def is_startable(
+    st: state.State, owner: state.Owner, worker: state.Worker
+) -> bool:
+    """Returns whether a worker takes starts; runs may have failed on it."""
+    is_stored = worker.entry.worker_id in fleets.usable_workers(owner)
+    return is_stored and _takes_starts(st, owner, worker)
+
+
+def is_staying(
+    st: state.State, owner: state.Owner, worker: state.Worker
+) -> bool:
+    """Returns whether nothing planned keeps starts from a worker."""
+    return (
+        worker.listed
+        and not worker.entry.draining
+        and worker.entry.zone not in st.zones_out
+        and not upkeep.is_emptied(owner, worker.entry.worker_id)
+    )
+
+
+def _takes_starts(
+    st: state.State, owner: state.Owner, worker: state.Worker
+) -> bool:
+    return bool(
+        worker.held
+        and worker.clock_at
+        and not worker.unanswered
+        # The next incarnation may have another capacity and other labels.
+        and worker.born in (0, worker.entry.born)
+        and not worker.former_holds
+        and is_staying(st, owner, worker)
+        and st.now >= worker.unhealthy_until
+    )
--- a/packages/core/mimosaridge_core/jobs/waiting.py
+++ b/packages/core/mimosaridge_core/jobs/waiting.py
@@ -12,6 +12,7 @@
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import fitting
 from mimosaridge_core.jobs import fleets
+from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import placement
 from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
@@ -39,6 +40,7 @@
     UNHELD_WORKER = "its tasks may run on a worker not held yet"
     UNREAD_ENDS = "its tasks may have ended on a worker that lists more ends"
     GANG_RUNS = "runs of the gang have not ended"
+    LATE_START = "a worker may still carry out an earlier start of its tasks"
     NO_WORKER = "no usable worker"
     TEAM_LIMIT = "the team's upper limit"
     NO_TICKET = "no valid ticket"
@@ -153,6 +155,9 @@
         return WaitReason.GANG_RUNS, {"members": len(group.runs)}
     if st.now < group.retry_at:
         return WaitReason.RETRY_PAUSE, {}
+    bound = latestarts.bound_tasks(owner, group)
+    if bound and (group.step.gang or len(bound) == len(group.waiting)):
+        return WaitReason.LATE_START, {"workers": sorted(set(bound.values()))}
     pool = usable.get(placement.backend_of(st, entry), {})
     if not pool:
         return WaitReason.NO_WORKER, _worker_counts(st, owner)
--- a/tests/core/jobs/test_late_answers.py
+++ b/tests/core/jobs/test_late_answers.py
@@ -68,6 +68,7 @@
         (start,) = _hold_back(world, effects.Start)
         time_out = world.calls.start(0, start, world.now, None)
         world.schedule(jobclusters.TICK_S, time_out)
+        world.schedule(jobclusters.TICK_S / 2, lambda: world.cancel("j1"))
         (order,) = _hold_back(world, effects.Stop)
         self._restart_and_answer(world, world.calls.stop, order)
 
--- a/tests/core/jobs/test_late_leases.py
+++ b/tests/core/jobs/test_late_leases.py
@@ -183,18 +183,27 @@
         self.assertEqual([], world.violations)
 
     def test_a_late_start_does_not_precede_the_first_hold_of_the_next_one(self):
-        world = self._world()
-        world.submit("j1", model.Step(1, CORE, 60.0))
-        order = self._lose(world, effects.Start, lambda order: True)
-        world.run(1.0)
-        world.add_worker("w1")
-        world.crash_worker("w0")
-        world.run(7.0)
-        self.assertEqual("w1", world.starts[-1].worker_id)
-        world.restart_worker("w0", longest_entry_delay_s=0.5)
-        order.start_before_ms += 12_000
-        world.calls.start_run(order, world.workers["w0"])
-        self.assertEqual([], world.violations)
+        for away_s in (0.3, 2.0, 6.0):
+            world = self._world()
+            world.add_worker("w1")
+            world.run(0.5)
+            world.submit("j1", model.Step(1, CORE, 60.0))
+            order = self._lose(world, effects.Start, lambda order: True)
+            self.assertEqual("w0", order.worker_id)
+            world.run(2.0)
+            world.crash_worker("w0")
+            world.run(away_s)
+            world.restart_worker("w0", longest_entry_delay_s=0.5)
+            order.start_before_ms += 12_000
+            world.calls.start_run(order, world.workers["w0"])
+            world.run(20.0)
+            self.assertEqual([], world.violations, away_s)
+            running = [
+                worker_id
+                for worker_id, worker in world.workers.items()
+                if worker.running
+            ]
+            self.assertEqual(["w0"], running, away_s)
 
     def test_a_hold_for_the_former_incarnation_forgets_no_ends(self):
         world = self._world()
--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -4,12 +4,15 @@
 
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import latestarts
+from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import tunables
 from mimosaridge_fakes import jobcalls
 from mimosaridge_fakes import jobclusters
 
 CORE = resources.Resources(1000, 100, 0)
+WORKER = resources.Resources(4000, 100, 0)
 LIMIT = resources.Resources(4000, 0, 0)
 
 
@@ -69,3 +72,171 @@
         self.assertEqual([], world.violations)
         workers = [order.worker_id for order in world.starts]
         self.assertEqual(["w1"] * 4, workers)
+
+
+class UnansweredStartTest(testtools.TestCase):
+    """A start without an answer may reach the next incarnation of its worker.
+
+    Nothing that the present one says of the run holds for the next.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.world = jobclusters.Cluster(daemons=2, workers=2)
+        self.world.claim(0)
+        self.world.run(1.0)
+
+    def _lose_starts(self, is_lost=lambda order: True, most=1):
+        """Loses starts, which reach no worker; returns them as they are sent.
+
+        Args:
+            is_lost: Says which starts are lost.
+            most: How many are lost at most.
+        """
+        world, lost = self.world, []
+        execute = world.execute
+
+        def lose(number, effect):
+            is_start = isinstance(effect, effects.Start)
+            if not is_start or len(lost) >= most or not is_lost(effect):
+                execute(number, effect)
+                return
+            lost.append(effect)
+            world.starts.append(effect)
+            time_out = world.calls.start(number, effect, world.now, None)
+            world.schedule(jobcalls.CALL_TIMEOUT_S, time_out)
+
+        world.execute = lose
+        return lost
+
+    def _crash(self, order):
+        """Crashes the worker of a start."""
+        self.world.crash_worker(order.worker_id)
+
+    def _return(self, order):
+        """Restarts the worker of a start, which is its first call then."""
+        world = self.world
+        world.restart_worker(order.worker_id, longest_entry_delay_s=0.5)
+        order.start_before_ms += 12_000
+        world.calls.start_run(order, world.workers[order.worker_id])
+
+    def _running(self):
+        return [
+            run.task_id
+            for worker in self.world.workers.values()
+            for run in worker.running.values()
+        ]
+
+    def test_it_is_repeated_as_the_same_run_before_its_task_goes_elsewhere(
+        self,
+    ):
+        lost = self._lose_starts()
+        self.world.submit("j1", model.Step(1, CORE, 60.0))
+        self.world.run(1.0)
+        first, second = self.world.starts
+        self.assertEqual([first], lost)
+        self.assertEqual(first.worker_id, second.worker_id)
+        self.assertEqual(first.run, second.run)
+        self.assertEqual(["j1.0.0.0"], self._running())
+
+    def test_it_is_repeated_once_a_silent_worker_answers_again(self):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 60.0))
+        world.run(0.1)
+        worker = world.workers[lost[0].worker_id]
+        worker.is_reachable = False
+        world.run(2.0)
+        worker.is_reachable = True
+        world.run(1.0)
+        self.assertEqual(["j1.0.0.0"], self._running())
+        self.assertEqual({lost[0].run}, {start.run for start in world.starts})
+
+    def test_the_task_of_a_lost_worker_starts_when_it_can_no_longer_arrive(
+        self,
+    ):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 60.0))
+        world.run(1.5)
+        sent_at = world.now - 1.5
+        self._crash(lost[0])
+        before = len(world.starts)
+        world.run(sent_at + tunables.LATE_CALL_S - world.now)
+        self.assertEqual(before, len(world.starts))
+        world.run(leases.start_s(world.daemons[0]) + 0.5)
+        self.assertEqual(1, len(world.starts) - before)
+        self.assertEqual(["j1.0.0.0"], self._running())
+
+    def test_a_worker_that_answers_no_start_does_not_keep_its_task(self):
+        world = self.world
+        lost = self._lose_starts(most=latestarts.MAX_UNANSWERED)
+        world.submit("j1", model.Step(1, CORE, 60.0))
+        repeats_s = latestarts.MAX_UNANSWERED * jobcalls.CALL_TIMEOUT_S
+        world.run(repeats_s + 1.0)
+        self.assertEqual([lost[0].run] * len(lost), [o.run for o in lost])
+        self.assertEqual([], self._running())
+        world.run(tunables.LATE_CALL_S + 2.0)
+        self.assertEqual(["j1.0.0.0"], self._running())
+
+    def test_a_run_that_is_moved_does_not_run_beside_it(self):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 0.0, standing=True))
+        world.run(2.0)
+        world.drain_worker(lost[0].worker_id)
+        world.run(2.0)
+        self._crash(lost[0])
+        world.run(0.5)
+        self._return(lost[0])
+        world.run(20.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(["j1.0.0.0"], self._running())
+
+    def test_a_gang_does_not_run_beside_it(self):
+        world = self.world
+        world.add_worker("w2")
+        world.run(0.5)
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(2, WORKER, 60.0, gang=True))
+        world.run(2.0)
+        self._crash(lost[0])
+        world.run(7.0)
+        self._return(lost[0])
+        world.run(20.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(2, len(self._running()))
+
+    def test_a_new_owner_starts_nothing_beside_it(self):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 60.0))
+        world.run(1.5)
+        self._crash(lost[0])
+        world.claim(1, is_former_gone=True)
+        world.run(8.0)
+        self._return(lost[0])
+        world.run(20.0)
+        twice = [text for text in world.violations if "TWICE" in text]
+        self.assertEqual([], twice)
+        self.assertEqual(["j1.0.0.0"], self._running())
+
+    def test_copies_of_a_speculative_step_do_not_wait_for_it(self):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 60.0, speculative=True))
+        world.run(3.0)
+        self.assertLess(lost[0].run, world.starts[-1].run)
+        self.assertEqual(["j1.0.0.0"], self._running())
+
+    def test_it_does_not_run_again_what_was_done(self):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 0.5))
+        world.run(3.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self._crash(lost[0])
+        world.run(0.5)
+        self._return(lost[0])
+        world.run(2.0)
+        self.assertEqual([], world.violations)
