--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -20,7 +20,7 @@
 # long enough for that worker's next answer to a hold call.
 REFUSAL_BACKOFF_S = 0.1
 # Interval of the search for unanswered calls: a fraction of `STOP_RETRY_S`.
-STOP_CHECK_INTERVAL_S = 0.1
+CALL_CHECK_INTERVAL_S = 0.1
 
 
 def _is_for_former(
@@ -82,7 +82,10 @@
             run.acknowledged_at = st.now
         runs.mark_begun(st, owner, event.task_id)
     elif event.result == events.CallResult.UNKNOWN:
-        _handle_unanswered_start(st, owner, worker, run, out)
+        # Handled by `check`: this daemon may have been replaced as the owner
+        # since, as it knows once it has handled all events.
+        run.is_unanswered = True
+        owner.calls_checked_at = 0.0
     elif event.result == events.CallResult.OTHER_INCARNATION:
         is_present = event.incarnation == worker.incarnation
         if not is_present or not incarnations.end(st, owner, worker, out):
@@ -122,13 +125,13 @@
     A stop would hold for the present incarnation of the worker only.
     """
     if run.phase != state.Phase.STARTING:
+        run.is_unanswered = False
         return
     group = owner.groups.get(run.task_id.rpartition(".")[0])
     if group is None or not _may_repeat(st, owner, worker, run, group):
+        run.is_unanswered = False
         stopping.stop(st, owner, worker, run, "start was not answered", out)
-        return
-    run.is_unanswered = True
-    if usableworkers.is_startable(st, owner, worker):
+    elif usableworkers.is_startable(st, owner, worker):
         entry = st.table[group.job_id]
         starting.repeat_start(st, owner, entry, group, worker, run, out)
 
@@ -212,9 +215,9 @@
 
 def check(st: state.State, owner: state.Owner, out: list) -> None:
     """Retries calls that were not answered in time."""
-    if st.now - owner.stops_checked_at < STOP_CHECK_INTERVAL_S:
+    if st.now - owner.calls_checked_at < CALL_CHECK_INTERVAL_S:
         return
-    owner.stops_checked_at = st.now
+    owner.calls_checked_at = st.now
     for worker in owner.workers.values():
         for run in list(worker.runs.values()):
             if run.is_unanswered:
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -48,7 +48,7 @@
         is_listed: Whether its worker has listed it as running.
         is_start_answered: Whether the start was answered; if not, it may be
             carried out late.
-        is_unanswered: Whether the start got no answer and has to be repeated.
+        is_unanswered: Whether the latest call to start it got no answer.
         is_timed: Whether this owner has started it, without a checkpoint, so
             that its time is that of the whole task.
         target_ms: Latency target of its step, milliseconds; 0 for none.
@@ -398,7 +398,7 @@
         unknown_ends: Ended runs of jobs that are not in the table, by job.
         asked: Number of calls for advice made.
         freed: Workers on which runs have ended since the last placement.
-        stops_checked_at: When unanswered stops were last checked.
+        calls_checked_at: When unanswered calls were last checked.
         paces_checked_at: When unconfirmed paces were last checked.
         explain_at: When the log next explains what waits.
         status_at: When the log next describes the owner.
@@ -464,7 +464,7 @@
     )
     asked: int = 0
     freed: set[str] = dataclasses.field(default_factory=set)
-    stops_checked_at: float = 0.0
+    calls_checked_at: float = 0.0
     paces_checked_at: float = 0.0
     explain_at: float = 0.0
     status_at: float = 0.0
