Conclude from lists of machines only what they can show

A machine that a list lacks counted as gone, for good.

A list now counts for a wave only if it was requested after the wave was known. A machine that lists lack for a second is ordered like the others, and the platform's 400 says that it is gone. Nothing is ordered while a worker is known that has joined since the list. A wave that is replaced under its number is open again, and a worker that a new owner has not held yet is not empty.

--- a/packages/core/mimosaridge_core/jobs/effects.py
+++ b/packages/core/mimosaridge_core/jobs/effects.py
@@ -141,9 +141,15 @@
 
 @dataclasses.dataclass(slots=True)
 class ListMachines:
-    """Lists the platform's machines for an owner."""
+    """Lists the platform's machines for an owner.
+
+    Attributes:
+        token: Fencing token of the owner.
+        requested_at: Steady time, seconds.
+    """
 
     token: int
+    requested_at: float
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/jobs/events.py
+++ b/packages/core/mimosaridge_core/jobs/events.py
@@ -229,11 +229,13 @@
     Attributes:
         now: Steady time, seconds.
         token: Token of the owner that asked.
+        requested_at: When the list was requested.
         machines: The machines by name; None if they are not known.
     """
 
     now: float
     token: int
+    requested_at: float
     machines: dict[str, model.Machine] | None
 
 
--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -82,7 +82,9 @@
             worker.listed = False
         return
     if worker is None:
-        worker = state.Worker(entry, incarnation=owner.next_incarnation())
+        worker = state.Worker(
+            entry, known_since=st.now, incarnation=owner.next_incarnation()
+        )
         owner.workers[worker_id] = worker
     elif incarnations.is_older(owner, worker, entry):
         effects.log_decision(
--- a/packages/core/mimosaridge_core/jobs/records.py
+++ b/packages/core/mimosaridge_core/jobs/records.py
@@ -103,8 +103,11 @@
 
     Attributes:
         machines: The platform's machines by name, as last listed.
-        listed_at: When they were listed; 0 if they never were.
+        listed_as_of: When that list was requested; 0 if there is none.
         list_sent_at: When a list was last requested.
+        list_answered_at: When the latest list with an answer was requested.
+        lacked_since: Machines of waves that the list lacks, with the time of
+            the first of the lists that have lacked them in a row.
         emptied: When a worker was closed to empty it for its upkeep, by id.
         ordered: When the upkeep of a machine was last ordered, by wave and
             name; until its answer the machine counts as down.
@@ -115,8 +118,10 @@
     """
 
     machines: dict[str, model.Machine] = dataclasses.field(default_factory=dict)
-    listed_at: float = 0.0
+    listed_as_of: float = 0.0
     list_sent_at: float = 0.0
+    list_answered_at: float = 0.0
+    lacked_since: dict[str, float] = dataclasses.field(default_factory=dict)
     emptied: dict[str, float] = dataclasses.field(default_factory=dict)
     ordered: dict[tuple[int, str], float] = dataclasses.field(
         default_factory=dict
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -96,6 +96,7 @@
     Attributes:
         entry: Its entry in the list of workers.
         listed: Whether it is still in that list.
+        known_since: Since when this owner knows its id.
         held: Whether this incarnation has accepted the owner's token.
         held_at: Address at which it last did so.
         called_at: Address of the latest hold.
@@ -150,6 +151,7 @@
 
     entry: model.WorkerEntry
     listed: bool = True
+    known_since: float = 0.0
     held: bool = False
     held_at: str = ""
     called_at: str = ""
@@ -514,6 +516,7 @@
             declared ones are used.
         run_times: What was learned from finished runs.
         waves: Waves of upkeep that operators request, by number.
+        waves_known_at: Since when each of them is known as it is.
         wave_progress: How far they are, by number.
         owner: The owner's state; None if this daemon is not the owner.
     """
@@ -544,6 +547,7 @@
         default_factory=model.RunTimes
     )
     waves: dict[int, model.Wave] = dataclasses.field(default_factory=dict)
+    waves_known_at: dict[int, float] = dataclasses.field(default_factory=dict)
     wave_progress: dict[int, model.WaveProgress] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/core/mimosaridge_core/jobs/upkeep.py
+++ b/packages/core/mimosaridge_core/jobs/upkeep.py
@@ -21,16 +21,12 @@
 from mimosaridge_core.jobs import dispatch
 from mimosaridge_core.jobs import effects
 from mimosaridge_core.jobs import events
+from mimosaridge_core.jobs import machinelists
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import runtimes
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import stopping
 
-# Interval at which machines are listed while a wave is not completed, seconds.
-# The platform allows some tens of readings a second to all daemons.
-LIST_INTERVAL_S = 0.5
-# A list that has no answer after this time is requested again, seconds.
-LIST_TIMEOUT_S = 3.0
 # An order without answer is repeated after this time, and a refused one after
 # the other, seconds.
 ORDER_TIMEOUT_S = 2.0
@@ -50,6 +46,12 @@
     """Replaces the waves that operators request."""
     if event.waves == st.waves:
         return
+    st.waves_known_at = {
+        number: st.waves_known_at[number]
+        if wave == st.waves.get(number)
+        else st.now
+        for number, wave in event.waves.items()
+    }
     st.waves = event.waves
     effects.log_decision(out, "waves", numbers=sorted(st.waves))
 
@@ -63,25 +65,11 @@
         st.wave_progress[event.progress.number] = event.progress
 
 
-@dispatch.handles(events.MachinesListed)
-def list_machines(
-    st: state.State, event: events.MachinesListed, out: list
-) -> None:
-    """Records the platform's machines."""
-    owner = st.owner
-    if owner is None or owner.token != event.token or event.machines is None:
-        return
-    owner.upkeep.machines = event.machines
-    owner.upkeep.listed_at = st.now
-
-
 def check(st: state.State, owner: state.Owner, out: list) -> None:
     """Carries the waves on that are not completed."""
     upkeep = owner.upkeep
     open_waves = [
-        wave
-        for number, wave in sorted(st.waves.items())
-        if not _is_over(st, number)
+        wave for _, wave in sorted(st.waves.items()) if not _is_over(st, wave)
     ]
     if not open_waves:
         upkeep.emptied.clear()
@@ -89,8 +77,8 @@
     # Another owner may have given orders until just before this one.
     if upkeep.is_fenced or st.now < owner.since + st.bounds.turns_s:
         return
-    _request_list(st, owner, out)
-    if not upkeep.listed_at:
+    machinelists.request_due(st, owner, out)
+    if not all(machinelists.is_current(st, owner, wave) for wave in open_waves):
         return
     wanted: set[str] = set()
     for wave in open_waves:
@@ -104,18 +92,14 @@
     return worker_id in owner.upkeep.emptied
 
 
-def _is_over(st: state.State, number: int) -> bool:
-    progress = st.wave_progress.get(number)
-    return progress is not None and progress.is_completed
-
-
-def _request_list(st: state.State, owner: state.Owner, out: list) -> None:
-    upkeep = owner.upkeep
-    is_waiting = upkeep.list_sent_at > upkeep.listed_at
-    interval_s = LIST_TIMEOUT_S if is_waiting else LIST_INTERVAL_S
-    if st.now >= upkeep.list_sent_at + interval_s:
-        upkeep.list_sent_at = st.now
-        out.append(effects.ListMachines(owner.token))
+def _is_over(st: state.State, wave: model.Wave) -> bool:
+    """Returns whether a wave is completed as operators request it now."""
+    progress = st.wave_progress.get(wave.number)
+    return (
+        progress is not None
+        and progress.is_completed
+        and set(wave.machines) <= set(progress.begun)
+    )
 
 
 def _carry_on(
@@ -126,12 +110,14 @@
     if progress is None:
         progress = model.WaveProgress(wave.number, st.wall)
         _store(st, owner, progress, out)
+    elif progress.is_completed:
+        progress = dataclasses.replace(
+            progress, begun_at=st.wall, is_completed=False
+        )
+        _store(st, owner, progress, out)
     upkeep = owner.upkeep
-    gone = {name for name in wave.machines if name not in upkeep.machines}
     begun = set(progress.begun)
-    left = [
-        name for name in wave.machines if name not in begun and name not in gone
-    ]
+    left = [name for name in wave.machines if name not in begun]
     if not left:
         if not _down(st, owner, wave):
             _complete(st, owner, wave, out)
@@ -154,26 +140,52 @@
                 until_s=round(until - st.now, 2),
             )
         _empty(st, owner, worker, until, out)
-    empty = [name for name, worker in closed if not worker.runs]
-    unused = [name for name in left if _worker_of(owner, name) is None]
-    for name in unused + empty:
+    _repeat_orders(st, owner, wave, out)
+    if not machinelists.lacks_workers(owner):
+        empty = [name for name, worker in closed if _is_empty(owner, worker)]
+        _order_upkeep(st, owner, wave, left, empty, places, out)
+    return {worker.entry.worker_id for _, worker in closed}
+
+
+def _is_empty(owner: state.Owner, worker: state.Worker) -> bool:
+    """Returns whether a worker runs nothing, also of former owners."""
+    return not worker.runs and worker.entry.worker_id not in owner.unheld
+
+
+def _order_upkeep(
+    st: state.State,
+    owner: state.Owner,
+    wave: model.Wave,
+    left: list[str],
+    empty: list[str],
+    places: int,
+    out: list,
+) -> None:
+    """Orders the upkeep of machines on which nothing runs.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        wave: The wave.
+        left: Its machines whose upkeep has not begun.
+        empty: Those of them whose worker is empty.
+        places: How many more may be down.
+        out: Effects.
+    """
+    upkeep = owner.upkeep
+    unused = [name for name in left if machinelists.is_unused(owner, name)]
+    # The platform answers that there is no such machine, or begins its upkeep.
+    missing = [name for name in left if machinelists.is_missing(owner, name)]
+    for name in unused + empty + missing:
         key = (wave.number, name)
         if places <= 0:
             break
         if key in upkeep.ordered or st.now < upkeep.retry_at.get(key, 0.0):
             continue
-        if not upkeep.machines[name].is_up:
+        if name in upkeep.machines and not upkeep.machines[name].is_up:
             continue
         places -= 1
         _order(st, owner, wave, name, out)
-    _repeat_orders(st, owner, wave, out)
-    return {worker.entry.worker_id for _, worker in closed}
-
-
-def _worker_of(owner: state.Owner, name: str) -> state.Worker | None:
-    """Returns the worker of a machine that has one which this owner holds."""
-    machine = owner.upkeep.machines[name]
-    return owner.workers.get(machine.worker_id)
 
 
 def _down(st: state.State, owner: state.Owner, wave: model.Wave) -> set[str]:
@@ -197,7 +209,7 @@
     """
     found = []
     for name in left:
-        worker = _worker_of(owner, name)
+        worker = machinelists.worker_of(owner, name)
         if worker is not None and not worker.entry.draining:
             found.append((name, worker))
     found.sort(
--- a/packages/daemon/mimosaridge_daemon/jobs/upkeeping.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/upkeeping.py
@@ -52,7 +52,7 @@
 
     def list_machines(self, effect: effects.ListMachines) -> None:
         """Lists the platform's machines and posts them."""
-        gevent.spawn(guarding.attempt, "machines", self._list, effect.token)
+        gevent.spawn(guarding.attempt, "machines", self._list, effect)
 
     def begin(self, effect: effects.BeginUpkeep) -> None:
         """Orders the upkeep of a machine and posts the answer."""
@@ -88,9 +88,13 @@
             CONNECT_TIMEOUT_S,
         )
 
-    def _list(self, token: int) -> None:
+    def _list(self, effect: effects.ListMachines) -> None:
         machines = self._read_pages() if self.client is not None else None
-        self.post(events.MachinesListed(time.monotonic(), token, machines))
+        self.post(
+            events.MachinesListed(
+                time.monotonic(), effect.token, effect.requested_at, machines
+            )
+        )
 
     def _read_pages(self) -> dict[str, model.Machine] | None:
         machines: dict[str, model.Machine] = {}
--- a/tests/core/jobs/test_upkeep.py
+++ b/tests/core/jobs/test_upkeep.py
@@ -40,12 +40,17 @@
         self.completed_early = []
         self.unanswered = 0
         self.holders = []
+        self.waves = {}
+        self.listed = self.present
         world.handle_other = self.handle
 
     def handle(self, number, effect):
         if isinstance(effect, effects.ListMachines):
             event = events.MachinesListed(
-                self.world.now, effect.token, self.listed()
+                self.world.now,
+                effect.token,
+                effect.requested_at,
+                self.listed(),
             )
             self._answer(number, event)
         elif isinstance(effect, effects.BeginUpkeep):
@@ -53,7 +58,7 @@
         elif isinstance(effect, effects.StoreWave):
             self._store(effect.progress)
 
-    def listed(self):
+    def present(self):
         return {
             name: model.Machine(name, not self._is_down(name), worker_id)
             for name, worker_id in self.worker_of.items()
@@ -119,11 +124,13 @@
                 number, events.WaveProgressStored(self.world.now, progress)
             )
 
-    def request(self, machines, within_s=20.0, most_down=1):
-        self.wave = model.Wave(1, tuple(machines), within_s, most_down)
-        for number in range(len(self.world.daemons)):
+    def request(self, machines, within_s=20.0, most_down=1, number=1):
+        self.wave = model.Wave(number, tuple(machines), within_s, most_down)
+        self.waves[number] = self.wave
+        for daemon in range(len(self.world.daemons)):
             self.world.deliver(
-                number, events.WavesChanged(self.world.now, {1: self.wave})
+                daemon,
+                events.WavesChanged(self.world.now, dict(self.waves)),
             )
 
 
@@ -244,6 +251,119 @@
         self.assertEqual({}, platform.begun)
 
 
+class OldListTest(testtools.TestCase):
+    """Lists of machines that don't show what has changed since."""
+
+    def _complete_a_wave(self, world, platform):
+        platform.request(["m-w0"])
+        world.run(8.0)
+        self.assertTrue(platform.status[1].is_completed)
+
+    def _add(self, world, platform, worker_id, machine):
+        world.add_worker(worker_id)
+        platform.worker_of[machine] = worker_id
+
+    def test_a_machine_added_since_the_last_wave_is_not_taken_for_gone(self):
+        world, platform = _world()
+        self._complete_a_wave(world, platform)
+        self._add(world, platform, "w9", "m-w9")
+        world.run(6.0)
+        platform.request(["m-w9"], number=2)
+        world.run(10.0)
+        self.assertEqual([], platform.completed_early)
+        self.assertIn("m-w9", platform.begun)
+        self.assertTrue(platform.status[2].is_completed)
+
+    def test_workers_back_under_other_ids_since_the_last_wave_are_emptied(
+        self,
+    ):
+        world, platform = _world(workers=5)
+        self._complete_a_wave(world, platform)
+        for worker_id in ("w0-next", "w1", "w2", "w3", "w4"):
+            world.crash_worker(worker_id)
+            world.unlist_worker(worker_id)
+        del platform.worker_of["m-w0"]
+        for number in range(1, 5):
+            self._add(world, platform, f"x{number}", f"m-w{number}")
+        world.run(10.0)
+        step = model.Step(2, CORE, 0.0, standing=True, may_miss=1)
+        world.submit("watch", dataclasses.replace(step, most_per_worker=1))
+        world.run(3.0)
+        at_work = [
+            name
+            for name, worker_id in platform.worker_of.items()
+            if world.workers[worker_id].running
+        ]
+        self.assertEqual(2, len(at_work))
+        platform.request(at_work, 30.0, most_down=2, number=2)
+        world.run(20.0)
+        self.assertEqual(set(at_work), set(platform.begun) - {"m-w0"})
+        self.assertEqual([], sum(platform.lost.values(), []))
+
+    def test_a_list_without_answer_lets_nothing_begin_or_complete(self):
+        world, platform = _world()
+        platform.listed = lambda: None
+        platform.request(["m-w0", "m-w9"])
+        world.run(10.0)
+        self.assertEqual({}, platform.begun)
+        self.assertFalse(platform.status and platform.status[1].is_completed)
+
+    def test_a_machine_that_one_list_lacks_is_not_taken_for_gone(self):
+        world, platform = _world()
+        lists = []
+
+        def lack_once():
+            machines = platform.present()
+            lists.append(machines)
+            if len(lists) == 1:
+                del machines["m-w1"]
+            return machines
+
+        platform.listed = lack_once
+        world.submit("long", model.Step(6, CORE, 3.0, most_per_worker=1))
+        world.run(1.0)
+        platform.request(["m-w1"])
+        world.run(10.0)
+        self.assertEqual([], platform.completed_early)
+        self.assertEqual([], platform.lost["m-w1"])
+
+    def test_a_list_that_arrives_after_a_later_one_does_not_count(self):
+        world, platform = _world()
+        platform.request(["m-w0"])
+        world.run(1.0)
+        owner = world.daemons[0].owner
+        machines = owner.upkeep.machines
+        late = events.MachinesListed(world.now, owner.token, 1.0, {})
+        world.deliver(0, late)
+        self.assertEqual(machines, owner.upkeep.machines)
+
+    def test_machines_of_a_wave_that_is_replaced_have_their_upkeep(self):
+        world, platform = _world()
+        self._complete_a_wave(world, platform)
+        platform.request(["m-w0", "m-w1"])
+        world.run(10.0)
+        self.assertEqual([], platform.completed_early)
+        self.assertIn("m-w1", platform.begun)
+        self.assertTrue(platform.status[1].is_completed)
+
+    def test_a_worker_not_held_since_a_takeover_is_not_taken_for_empty(self):
+        world, platform = _world(daemons=2)
+        step = model.Step(2, CORE, 60.0, most_per_worker=1)
+        world.submit("long", step)
+        world.run(1.0)
+        (name, *_) = [
+            each
+            for each, worker_id in platform.worker_of.items()
+            if world.workers[worker_id].running
+        ]
+        worker = world.workers[platform.worker_of[name]]
+        worker.is_reachable = False
+        world.claim(1)
+        platform.request([name], within_s=30.0)
+        world.run(4.0)
+        self.assertNotIn(name, platform.begun)
+
+
 class RandomWavesTest(testtools.TestCase):
     """Waves beside work, with lost answers and changes of the owner."""
 
