Keep a job whose id was cancelled before it was stored anew

Read in the diff, then shown by an extended test: a cancellation of an unknown job that was removed, and whose id was then submitted, left the id among the owner's finished jobs, so the job was deleted after 140 s while it ran ('j1' not in {}). The owner forgets it when it learns of the job.

--- a/packages/core/mimosaridge_core/jobs/table.py
+++ b/packages/core/mimosaridge_core/jobs/table.py
@@ -176,6 +176,7 @@
     st.table_bytes += _size(job)
     if st.owner is not None:
         unheldusage.invalidate(st.owner)
+        st.owner.finished.pop(job.job_id, None)
         work.add_job(st, st.owner, entry, out)
         runs.recognize(st, st.owner, job.job_id, out)
         if entry.cancelled:
--- a/tests/core/jobs/test_early_cancels.py
+++ b/tests/core/jobs/test_early_cancels.py
@@ -74,6 +74,9 @@
         self._tell(events.JobCancelled(world.now, "j1", cancelled))
         world.run(1.0)
         self.assertEqual(model.JobState.RUNNING, world.state_of("j1"))
+        world.run(timing.keep_finished_s(world.daemons[0].bounds) + 2.0)
+        self.assertIn("j1", world.jobs)
+        self.assertEqual(1, len(world.starts))
 
     def test_a_cancellation_of_no_job_is_removed_like_a_finished_job(self):
         for is_taken_over in (False, True):
