Stop a run whose repeated start is refused in place of taking it for lost

An unanswered start had been carried out and its run was done, but the end was not listed yet; the repetition was refused as old, and the owner took that for a run that had never begun.

A refusal answers one call of several. The run is now stopped, and ends when its worker's complete list shows how.

--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -185,7 +185,11 @@
         group.retry_at = st.now + REFUSAL_BACKOFF_S
         if event.result == events.CallResult.NO_TICKET:
             group.tickets.pop(event.worker_id, None)
-    runs.mark_lost(st, owner, worker, run, runs.EndEvidence.REFUSED, out)
+    if latestarts.has_unanswered(owner, run):
+        # An earlier call may have begun the run, which may even have ended.
+        stopping.stop(st, owner, worker, run, "start was refused", out)
+    else:
+        runs.mark_lost(st, owner, worker, run, runs.EndEvidence.REFUSED, out)
 
 
 @dispatch.handles(events.StopAnswered)
--- a/packages/core/mimosaridge_core/jobs/latestarts.py
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -97,6 +97,12 @@
         late.refused_by = None
 
 
+def has_unanswered(owner: state.Owner, run: state.Run) -> bool:
+    """Returns whether a call to start a run has got no answer."""
+    late = owner.late_starts.get(run.task_id)
+    return late is not None and late.run == run.run
+
+
 def may_repeat(owner: state.Owner, run: state.Run) -> bool:
     """Returns whether a start without an answer may be sent again."""
     late = owner.late_starts.get(run.task_id)
--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -139,6 +139,22 @@
         self.assertEqual(first.run, second.run)
         self.assertEqual(["j1.0.0.0"], self._running())
 
+    def test_a_refused_repetition_does_not_start_again_what_is_done(self):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 0.3))
+        world.run(0.1)
+        worker = world.workers[lost[0].worker_id]
+        # Its answers list no ends for a time.
+        worker.ends_per_answer = 0
+        world.calls.start_run(lost[0], worker)
+        world.run(2.0)
+        worker.ends_per_answer = 500
+        world.run(2.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual({lost[0].run}, {start.run for start in world.starts})
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+
     def test_it_is_repeated_once_a_silent_worker_answers_again(self):
         world = self.world
         lost = self._lose_starts()
