--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -1,4 +1,4 @@
-"""Handles workers' answers to start and stop calls and retries stops."""
+"""Handles workers' answers to starts and stops; repeats unanswered calls."""
 
 from mimosaridge_core.jobs import advice_calls
 from mimosaridge_core.jobs import dispatch
