--- a/review/lab3/fleet.py
+++ b/review/lab3/fleet.py
@@ -55,7 +55,8 @@
         running: Its runs by task.
         ended: Ended runs that are not forgotten.
         last_seen: Highest `lastSeen` that a hold has brought.
-        is_dark: Whether the machine is silent for good.
+        calls: When calls came, monotonic seconds.
+        keeps_back: Whether a call gets no answer; for late orders.
     """
 
     def __init__(
@@ -91,6 +92,8 @@
         self.state = "ready"
         self.sequence = 0
         self.is_gone = False
+        self.calls: list[float] = []
+        self.keeps_back: Callable[[web.Request], bool] = lambda request: False
         self.server = web.Server(self.handle)
         self.tasks: list[asyncio.Task] = []
 
@@ -183,8 +186,21 @@
             lists_gone_after_s, self.store.delete, f"servers/{self.name}"
         )
 
+    def crash(self) -> None:
+        """Ends this life as the crash of its process does."""
+        self.is_gone = True
+        self.server.stop()
+        for task in self.tasks:
+            task.cancel()
+        for run in list(self.running.values()):
+            self.note("lost", worker=self.name, task=run.task, run=run.run)
+        self.running.clear()
+
     async def handle(self, request: web.Request) -> web.Answer:
         """Answers a call."""
+        self.calls.append(time.monotonic())
+        if self.keeps_back(request):
+            return None
         instance = request.headers.get("x-expected-instance")
         if instance not in (None, self.name):
             return 421, {}
