--- a/review/lab3/deployment.py
+++ b/review/lab3/deployment.py
@@ -197,6 +197,7 @@
     def kill_daemon(self, name: str) -> None:
         """Kills a daemon."""
         self.daemons[name].kill()
+        self.daemons[name].wait()
         self.note("daemon-killed", daemon=name)
 
     def log_of(self, name: str) -> list[dict[str, Any]]:
