Let workers forget an end only when no late start can follow it

Cause: the owner acknowledged the end as soon as its result was stored, without a look at the calls for the task that may still arrive for 12 s. What one incarnation says of a run binds no other one, its end included.

Ends as done or failed now stay in the worker's list until no other start of the task can arrive; the result is stored and used at once as before. A call that is the only one for a run that the worker lists has arrived and keeps no end. Nor does one with a ticket, which the next incarnation refuses. The end of one member of a gang stands for all of them. The fleet tells the next owner as before. Above 400 ends a worker may forget them, as it lists no more than 500.

Weighed: to use results only then.

--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -108,8 +108,9 @@
     may make a call of its own until its failure is noticed.
     """
     if event.is_repeated:
+        run.is_repeated = True
         latestarts.record(st, owner, run, st.now, out)
-    elif not run.is_listed:
+    elif run.is_repeated or not run.is_listed:
         latestarts.record(st, owner, run, run.started_at, out)
 
 
--- a/packages/core/mimosaridge_core/jobs/fleets.py
+++ b/packages/core/mimosaridge_core/jobs/fleets.py
@@ -80,7 +80,8 @@
         # A new owner learns only from the worker that tasks have ended whose
         # results are not stored.
         jobs = {run.task_id.partition(".")[0] for run in worker.runs.values()}
-        jobs.update(worker.unstored_ends.values())
+        ended = worker.kept_ends.values()
+        jobs.update(row.task_id.partition(".")[0] for row in ended)
         worker.closed_jobs = tuple(sorted(jobs))
     return worker.closed_jobs
 
--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -323,6 +323,7 @@
             run.acknowledged_at = st.now
         if not run.is_listed:
             runs.mark_begun(st, owner, run.task_id)
+            latestarts.record_listed(owner, run)
         run.is_listed = True
         run.saved = row.saved
         run.percent = row.percent
@@ -338,11 +339,11 @@
 ) -> None:
     for row in sorted(event.ended, key=lambda row: row.number):
         if row.number > worker.processed_end:
-            job_id = row.task_id.partition(".")[0]
-            worker.unstored_ends[row.number] = job_id
+            worker.kept_ends[row.number] = row
             runs.handle_end(st, owner, worker, row, out)
             # Not before: an end whose handling fails must be listed again.
             worker.processed_end = row.number
+            latestarts.log_if_kept(st, owner, worker, row, out)
 
 
 def _end_unlisted(
--- a/packages/core/mimosaridge_core/jobs/incarnations.py
+++ b/packages/core/mimosaridge_core/jobs/incarnations.py
@@ -114,7 +114,7 @@
     worker.entry = st.entries.get(worker.entry.worker_id, worker.entry)
     worker.processed_end = 0
     worker.acknowledged_end = 0
-    worker.unstored_ends.clear()
+    worker.kept_ends.clear()
     worker.clock_at = 0.0
     worker.lease_until_ms = 0
     worker.lease_ends_at = 0.0
--- a/packages/core/mimosaridge_core/jobs/latestarts.py
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -7,6 +7,11 @@
 worker as the same run, and until it can no longer arrive, the task starts on no
 other worker: whatever ends an incarnation ends the task's run there, too.
 
+The run may end before that, and the start that is still on its way runs the
+task once more in the next incarnation. The result is stored and used at once,
+but its worker is not told to forget the end until the start can no longer
+arrive: an end is final only when no other run of the task can follow it.
+
 The fleet stores these tasks, so that a new owner knows them.
 """
 
@@ -14,6 +19,7 @@
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import records
+from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import tunables
 
@@ -23,6 +29,10 @@
 NO_INCARNATION = -1
 # Largest difference between the times of day of two machines, seconds.
 MAX_CLOCK_ERROR_S = 2.0
+# Most ends that a worker keeps for late starts: it lists no more than 500.
+MAX_KEPT_ENDS = 400
+# Ends after which a task must not start again: at once, or after some of them.
+FINAL_OUTCOMES = (model.RunOutcome.DONE, model.RunOutcome.FAILED)
 
 
 def record(
@@ -53,6 +63,7 @@
         until,
         round(st.wall + until - st.now, 1),
         unanswered,
+        is_only=before is None and not run.is_repeated,
     )
     effects.log_decision(
         out,
@@ -90,8 +101,18 @@
         late.refused_by = refused_by
 
 
+def record_listed(owner: state.Owner, run: state.Run) -> None:
+    """Records that a worker lists a run: the only call to start it arrived."""
+    late = owner.late_starts.get(run.task_id)
+    if late is None or late.run != run.run:
+        return
+    if late.is_only and not run.is_repeated:
+        del owner.late_starts[run.task_id]
+
+
 def record_listed_end(owner: state.Owner, run: state.Run) -> None:
     """Records that a run has ended, so that it never starts again."""
+    record_listed(owner, run)
     late = owner.late_starts.get(run.task_id)
     if late is not None and late.run == run.run:
         late.refused_by = None
@@ -152,6 +173,80 @@
     return st.now > late.until + leases.start_s(st)
 
 
+def unsettled_tasks(st: state.State, owner: state.Owner) -> set[str]:
+    """Returns the tasks that a late start may run once more after an end.
+
+    The end of one member of a gang stands for those of all members. Tasks that
+    last start again however they end, and copies may follow each other. A late
+    start of a queue with advice carries a ticket for the former incarnation,
+    which the next one refuses.
+    """
+    unsettled = set()
+    for task_id, late in owner.late_starts.items():
+        entry = st.table.get(task_id.partition(".")[0])
+        if entry is None or late.until < st.now:
+            continue
+        step_key, _, _ = task_id.rpartition(".")
+        step = _step_of(entry.job, step_key)
+        if step is None or step.standing or step.speculative:
+            continue
+        if _needs_ticket(st, entry.job):
+            continue
+        unsettled.add(task_id)
+        if step.gang:
+            unsettled.update(f"{step_key}.{i}" for i in range(step.tasks))
+    return unsettled
+
+
+def _step_of(job: model.Job, step_key: str) -> model.Step | None:
+    """Returns the step "JOB.REPETITION.STEP" of a job; None if it has none."""
+    number = int(step_key.rpartition(".")[2])
+    return job.steps[number] if number < len(job.steps) else None
+
+
+def _needs_ticket(st: state.State, job: model.Job) -> bool:
+    queue = settings.queue_of(st, job) if st.configuration else None
+    return queue is not None and queue.advice is not None
+
+
+def log_if_kept(
+    st: state.State,
+    owner: state.Owner,
+    worker: state.Worker,
+    row: model.EndReport,
+    out: list,
+) -> None:
+    """Logs an end that its worker keeps until no late start can follow it."""
+    if row.how not in FINAL_OUTCOMES:
+        return
+    if row.task_id in unsettled_tasks(st, owner):
+        effects.log_decision(
+            out,
+            "end-kept",
+            job_id=row.task_id.partition(".")[0],
+            task_id=row.task_id,
+            run=row.run,
+            worker=worker.entry.worker_id,
+            number=row.number,
+        )
+
+
+def last_settled(worker: state.Worker, unsettled: set[str], last: int) -> int:
+    """Returns the last end, up to a number, that a worker may forget.
+
+    Args:
+        worker: The worker.
+        unsettled: Tasks that a late start may run once more.
+        last: Number of the last end whose result is stored.
+    """
+    if len(worker.kept_ends) > MAX_KEPT_ENDS:
+        return last
+    for number, row in worker.kept_ends.items():
+        if row.task_id in unsettled and row.how in FINAL_OUTCOMES:
+            return min(last, number - 1)
+    return last
+
+
 def bound_tasks(owner: state.Owner, group: state.Group) -> dict[int, str]:
     """Returns the waiting tasks that may start on one worker only, with it.
 
--- a/packages/core/mimosaridge_core/jobs/records.py
+++ b/packages/core/mimosaridge_core/jobs/records.py
@@ -42,6 +42,7 @@
         until: Until when the latest of them may be carried out.
         until_wall: The same as Unix seconds.
         unanswered: Number of these calls.
+        is_only: Whether no other call to start the task may be carried out.
         refused_by: Start of the incarnation that may refuse the run after it
             was lost; None while it goes on and after a listed end.
     """
@@ -51,6 +52,7 @@
     until: float
     until_wall: float
     unanswered: int
+    is_only: bool = False
     refused_by: int | None = None
 
 
--- a/packages/core/mimosaridge_core/jobs/starting.py
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -84,6 +84,7 @@
     """
     run.started_at = run.percent_at = st.now
     run.is_unanswered = False
+    run.is_repeated = True
     # When the run has begun is unknown.
     run.is_timed = False
     _send(st, owner, entry, group, worker, run, out)
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -49,6 +49,7 @@
         is_start_answered: Whether the start was answered; if not, it may be
             carried out late.
         is_unanswered: Whether the latest call to start it got no answer.
+        is_repeated: Whether the start was or may have been sent more than once.
         is_timed: Whether this owner has started it, without a checkpoint, so
             that its time is that of the whole task.
         target_ms: Latency target of its step, milliseconds; 0 for none.
@@ -78,6 +79,7 @@
     is_listed: bool = False
     is_start_answered: bool = False
     is_unanswered: bool = False
+    is_repeated: bool = False
     is_timed: bool = False
     target_ms: int = 0
     fills: bool = False
@@ -103,10 +105,10 @@
         used: Sum of the resources that its runs occupy.
         runs: Runs by task id and run number.
         processed_end: Highest number of an ended run that was processed.
-        acknowledged_end: Highest number of an ended run whose result is stored;
-            the worker may forget the runs up to it.
-        unstored_ends: Jobs of the ended runs that the worker keeps, by number
-            in ascending order.
+        acknowledged_end: Highest number of an ended run that the worker may
+            forget, with all runs up to it.
+        kept_ends: Ended runs that the worker keeps, by number in ascending
+            order.
         clock_ms: The worker's clock as of `clock_at`.
         clock_at: When the clock was read.
         born: Start of the incarnation that answered last.
@@ -159,7 +161,9 @@
     runs: dict[tuple[str, int], Run] = dataclasses.field(default_factory=dict)
     processed_end: int = 0
     acknowledged_end: int = 0
-    unstored_ends: dict[int, str] = dataclasses.field(default_factory=dict)
+    kept_ends: dict[int, model.EndReport] = dataclasses.field(
+        default_factory=dict
+    )
     clock_ms: int = 0
     clock_at: float = 0.0
     born: int = 0
--- a/packages/core/mimosaridge_core/jobs/writing.py
+++ b/packages/core/mimosaridge_core/jobs/writing.py
@@ -1,6 +1,7 @@
 """Batched writes of progress to the store.
 
-A worker may forget an ended run only after its result is stored.
+A worker may forget an ended run only after its result is stored, and after no
+late start can run its task again (`latestarts`).
 
 The load that this answers: some hundreds of runs end each second, of more jobs
 than one write takes. The jobs that are due are written in one round of several
@@ -13,6 +14,7 @@
 from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import fleets
 from mimosaridge_core.jobs import holds
+from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import records
 from mimosaridge_core.jobs import state
@@ -156,11 +158,13 @@
         later: Jobs with results that this write does not store.
     """
     ends = {}
+    unsettled = latestarts.unsettled_tasks(st, owner)
     for worker_id, worker in owner.workers.items():
         if worker.processed_end <= worker.acknowledged_end:
             continue
         last = unknownends.last_known(st, owner, worker)
         last = _last_before(worker, later, last)
+        last = latestarts.last_settled(worker, unsettled, last)
         if last > worker.acknowledged_end:
             ends[worker_id] = (worker.incarnation, last)
     return ends
@@ -168,8 +172,8 @@
 
 def _last_before(worker: state.Worker, unstored: set[str], last: int) -> int:
     """Returns the last end, up to a number, before the first of some jobs."""
-    for number, job in worker.unstored_ends.items():
-        if job in unstored:
+    for number, row in worker.kept_ends.items():
+        if row.task_id.partition(".")[0] in unstored:
             return min(last, number - 1)
     return last
 
@@ -191,8 +195,8 @@
         if number <= worker.acknowledged_end:
             continue
         worker.acknowledged_end = number
-        for stored in [end for end in worker.unstored_ends if end <= number]:
-            del worker.unstored_ends[stored]
+        for stored in [end for end in worker.kept_ends if end <= number]:
+            del worker.kept_ends[stored]
         if not worker.hold_open and not worker.unanswered:
             holds.send_hold(st, owner, worker, out)
 
--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -4,6 +4,7 @@
 
 from mimosaridge_core import resources
 from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
@@ -74,10 +75,11 @@
         self.assertEqual(["w1"] * 4, workers)
 
 
-class UnansweredStartTest(testtools.TestCase):
-    """A start without an answer may reach the next incarnation of its worker.
+class LostStartTestCase(testtools.TestCase):
+    """Base of tests with starts that get no answer.
 
-    Nothing that the present one says of the run holds for the next.
+    Attributes:
+        world: The cluster; its first daemon owns two workers.
     """
 
     def setUp(self):
@@ -127,6 +129,13 @@
             for run in worker.running.values()
         ]
 
+
+class UnansweredStartTest(LostStartTestCase):
+    """A start without an answer may reach the next incarnation of its worker.
+
+    Nothing that the present one says of the run holds for the next.
+    """
+
     def test_it_is_repeated_as_the_same_run_before_its_task_goes_elsewhere(
         self,
     ):
@@ -256,3 +265,145 @@
         self._return(lost[0])
         world.run(2.0)
         self.assertEqual([], world.violations)
+
+
+class UnsettledEndTest(LostStartTestCase):
+    """A run ends while another start of its task may still arrive.
+
+    The worker must not forget the end before that: the task may run once more.
+    """
+
+    def _kept(self, worker_id):
+        """Returns the tasks whose ended runs a worker has not forgotten."""
+        return {row.task_id for row in self.world.workers[worker_id].ended}
+
+    def _allow_attempts(self, number):
+        world = self.world
+        world.configure(world.configuration(version=2, max_attempts=number))
+        world.run(jobclusters.CONFIGURATION_APPLY_S)
+
+    def test_its_end_is_acknowledged_once_the_start_can_no_longer_arrive(
+        self,
+    ):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 0.5))
+        world.run(0.1)
+        sent_at = world.now
+        world.run(tunables.LATE_CALL_S - 0.5)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertEqual({"j1.0.0.0"}, self._kept(lost[0].worker_id))
+        world.run(sent_at + tunables.LATE_CALL_S + 0.5 - world.now)
+        self.assertEqual(set(), self._kept(lost[0].worker_id))
+
+    def test_a_late_start_does_not_exceed_the_attempts_of_a_failed_task(self):
+        self._allow_attempts(1)
+        world = self.world
+        lost = self._lose_starts()
+        world.hopeless.add("j1")
+        world.submit("j1", model.Step(1, CORE, 0.5))
+        world.run(3.0)
+        self.assertEqual(model.JobState.FAILED, world.state_of("j1"))
+        self.assertEqual({"j1.0.0.0"}, self._kept(lost[0].worker_id))
+
+    def test_a_late_start_does_not_run_again_a_step_that_others_followed(
+        self,
+    ):
+        world = self.world
+        lost = self._lose_starts()
+        first = model.Step(1, CORE, 0.3)
+        world.submit("j1", first, model.Step(2, CORE, 0.3, after=(0,)))
+        world.run(3.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self._crash(lost[0])
+        world.run(0.5)
+        self._return(lost[0])
+        world.run(2.0)
+        self.assertEqual([], world.violations)
+
+    def test_a_late_start_does_not_run_again_a_member_of_a_done_gang(self):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(2, WORKER, 0.5, gang=True))
+        world.run(3.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        ended = self._kept("w0") | self._kept("w1")
+        self.assertEqual({"j1.0.0.0", "j1.0.0.1"}, ended)
+        self._crash(lost[0])
+        world.run(0.5)
+        self._return(lost[0])
+        world.run(2.0)
+        self.assertEqual([], world.violations)
+
+    def test_a_new_owner_does_not_acknowledge_it_either(self):
+        for claim_after_s in (0.5, 1.0, 2.5):
+            self.world = jobclusters.Cluster(daemons=2, workers=2)
+            world = self.world
+            world.claim(0)
+            world.run(1.0)
+            lost = self._lose_starts()
+            world.submit("j1", model.Step(1, CORE, 0.5))
+            # The start fails after `jobcalls.CALL_TIMEOUT_S`.
+            world.run(jobcalls.CALL_TIMEOUT_S + claim_after_s)
+            world.claim(1, is_former_gone=True)
+            world.run(4.0)
+            self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+            self._crash(lost[0])
+            world.run(0.5)
+            self._return(lost[0])
+            world.run(2.0)
+            self.assertEqual([], world.violations, claim_after_s)
+
+    def test_a_start_that_arrived_though_its_answer_was_lost_keeps_no_end(
+        self,
+    ):
+        world, execute, lost = self.world, self.world.execute, []
+
+        def lose_answer(number, effect):
+            if not isinstance(effect, effects.Start) or lost:
+                execute(number, effect)
+                return
+            lost.append(effect)
+            worker = world.workers[effect.worker_id]
+            world.calls.start(number, effect, world.now, worker)
+            time_out = world.calls.start(number, effect, world.now, None)
+            world.schedule(jobcalls.CALL_TIMEOUT_S, time_out)
+
+        world.execute = lose_answer
+        world.submit("j1", model.Step(1, CORE, 2.0))
+        world.run(4.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertEqual(set(), self._kept(lost[0].worker_id))
+
+    def test_a_start_with_a_ticket_for_its_incarnation_keeps_no_end(self):
+        world = self.world
+        world.configure(
+            world.configuration(
+                version=2, advice=model.AdviceSettings(0.01, 0.001, 2.0)
+            )
+        )
+        world.run(jobclusters.CONFIGURATION_APPLY_S)
+        askers = frozenset({"daemon-0"})
+        world.deliver(0, events.PeersChanged(world.now, askers))
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 0.5))
+        world.run(4.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self.assertEqual(set(), self._kept(lost[0].worker_id))
+        self._crash(lost[0])
+        world.run(0.5)
+        self._return(lost[0])
+        self.assertEqual([], self._running())
+
+    def test_a_worker_whose_lists_are_full_may_forget_it(self):
+        world = self.world
+        self.patch(latestarts, "MAX_KEPT_ENDS", 3)
+        world.crash_worker("w1")
+        world.unlist_worker("w1")
+        self._lose_starts()
+        world.submit("j0", model.Step(1, CORE, 0.3))
+        world.run(2.0)
+        for number in range(1, 6):
+            world.submit(f"j{number}", model.Step(1, CORE, 0.1))
+            world.run(0.5)
+        self.assertNotIn("j0.0.0.0", self._kept("w0"))
