Let a new owner repeat an unanswered start as the same run

A start without an answer is repeated as the same run, so that no two starts of a task can follow each other at one worker. A new owner took the task over, but sent a run of its own: the former owner's start arrived late and its run ended as done, then the new one's arrived late and ran the task again (TWICE).

Cause: the owner repeats a run only if it knows that the present incarnation does not refuse it, and the fleet doesn't say. It is now tried: a worker that has stopped or ended the run refuses it, and the next start is a new run. A run that has failed is not tried, since each failed run counts as one attempt.

--- a/packages/core/mimosaridge_core/jobs/latestarts.py
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -136,7 +136,7 @@
         left_s = until_wall - st.wall + MAX_CLOCK_ERROR_S
         until = st.now + min(left_s, tunables.LATE_CALL_S)
         owner.late_starts[task_id] = records.LateStart(
-            worker_id, run, until, until_wall, unanswered=1
+            worker_id, run, until, until_wall, 1, refused_by=NO_INCARNATION
         )
 
 
@@ -277,4 +277,6 @@
     worker = owner.workers.get(late.worker_id)
     if late.refused_by is None or worker is None or group.step.gang:
         return None
+    if late.run in group.progress.failed_runs.get(index, ()):
+        return None
     return late.run if worker.born != late.refused_by else None
--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -246,6 +246,33 @@
         self.assertEqual([], twice)
         self.assertEqual(["j1.0.0.0"], self._running())
 
+    def test_a_new_owner_repeats_it_as_the_same_run(self):
+        # Two runs whose starts are both late would follow each other.
+        world = self.world
+        lost = self._lose_starts(most=2)
+        world.submit("j1", model.Step(1, CORE, 60.0))
+        world.run(1.5)
+        self.assertEqual(2, len(lost))
+        world.claim(1, is_former_gone=True)
+        world.run(6.0)
+        self.assertEqual(["j1.0.0.0"], self._running())
+        self.assertEqual({lost[0].run}, {start.run for start in world.starts})
+
+    def test_a_new_owner_repeats_no_run_that_has_failed(self):
+        world = self.world
+        lost = self._lose_starts(most=1)
+        world.hopeless.add("j1")
+        world.submit("j1", model.Step(1, CORE, 0.3))
+        world.run(jobcalls.CALL_TIMEOUT_S + 0.5)
+        failed = world.progress["j1"][0].steps["0.0"].failed_runs
+        self.assertEqual({0: [lost[0].run]}, failed)
+        before = len(world.starts)
+        world.claim(1, is_former_gone=True)
+        world.run(4.0)
+        runs = {start.run for start in world.starts[before:]}
+        self.assertNotIn(lost[0].run, runs)
+        self.assertEqual(model.JobState.FAILED, world.state_of("j1"))
+
     def test_copies_of_a_speculative_step_do_not_wait_for_it(self):
         world = self.world
         lost = self._lose_starts()
