Store a start without a ticket once its answer is overdue

A new owner knows the starts without an answer of the former one from the fleet, where they came only after their time-out of 0.4 s.

Starts whose answer takes over 0.05 s are now stored at the next look for unanswered calls, and forgotten when they are answered or listed. Answers take 3 ms, so calm costs no write. Starts with a ticket expire with the incarnation and are stored as before. A write before each start would close the rest, the last 0.2 s, and is too dear at 300 starts a second.

--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -21,6 +21,8 @@
 REFUSAL_BACKOFF_S = 0.1
 # Interval of the search for unanswered calls: a fraction of `STOP_RETRY_S`.
 CALL_CHECK_INTERVAL_S = 0.1
+# A start that is answered later than this may be lost; answers take some 3 ms.
+USUAL_ANSWER_S = 0.05
 
 
 def _is_for_former(
@@ -65,6 +67,7 @@
         _record_late_start(st, owner, run, event, out)
     else:
         run.is_start_answered = True
+        latestarts.forget_arrived(owner, run)
     if event.result != events.CallResult.DONE:
         effects.log_decision(
             out,
@@ -114,6 +117,18 @@
         latestarts.record(st, owner, run, run.started_at, out)
 
 
+def _is_overdue(st: state.State, owner: state.Owner, run: state.Run) -> bool:
+    """Returns whether the next owner should know that a start has no answer.
+
+    With a ticket the start expires with the incarnation of its worker.
+    """
+    if run.phase != state.Phase.STARTING or run.is_start_answered:
+        return False
+    group = owner.groups.get(run.task_id.rpartition(".")[0])
+    is_known = group is not None and not group.needs_ticket
+    return is_known and st.now - run.started_at > USUAL_ANSWER_S
+
+
 def _handle_unanswered_start(
     st: state.State,
     owner: state.Owner,
@@ -225,6 +240,8 @@
     owner.calls_checked_at = st.now
     for worker in owner.workers.values():
         for run in list(worker.runs.values()):
+            if _is_overdue(st, owner, run):
+                latestarts.record(st, owner, run, run.started_at, out)
             if run.is_unanswered:
                 _handle_unanswered_start(st, owner, worker, run, out)
             is_stopping = run.phase in (
--- a/packages/core/mimosaridge_core/jobs/holds.py
+++ b/packages/core/mimosaridge_core/jobs/holds.py
@@ -323,7 +323,7 @@
             run.acknowledged_at = st.now
         if not run.is_listed:
             runs.mark_begun(st, owner, run.task_id)
-            latestarts.record_listed(owner, run)
+            latestarts.forget_arrived(owner, run)
         run.is_listed = True
         run.saved = row.saved
         run.percent = row.percent
--- a/packages/core/mimosaridge_core/jobs/latestarts.py
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -101,8 +101,8 @@
         late.refused_by = refused_by
 
 
-def record_listed(owner: state.Owner, run: state.Run) -> None:
-    """Records that a worker lists a run: the only call to start it arrived."""
+def forget_arrived(owner: state.Owner, run: state.Run) -> None:
+    """Forgets the only call to start a run that was answered or is listed."""
     late = owner.late_starts.get(run.task_id)
     if late is None or late.run != run.run:
         return
@@ -112,7 +112,7 @@
 
 def record_listed_end(owner: state.Owner, run: state.Run) -> None:
     """Records that a run has ended, so that it never starts again."""
-    record_listed(owner, run)
+    forget_arrived(owner, run)
     late = owner.late_starts.get(run.task_id)
     if late is not None and late.run == run.run:
         late.refused_by = None
--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -381,6 +381,40 @@
             world.run(2.0)
             self.assertEqual([], world.violations, claim_after_s)
 
+    def test_a_new_owner_knows_a_start_that_has_not_timed_out(self):
+        for claim_after_s in (0.3, 0.5, 0.7):
+            self.world = jobclusters.Cluster(daemons=2, workers=2)
+            world = self.world
+            world.claim(0)
+            world.run(1.0)
+            lost = self._lose_starts()
+            world.submit("j1", model.Step(1, CORE, 0.5))
+            world.run(claim_after_s)
+            world.claim(1, is_former_gone=True)
+            world.run(6.0)
+            self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+            self._crash(lost[0])
+            world.run(0.5)
+            self._return(lost[0])
+            world.run(2.0)
+            self.assertEqual([], world.violations, claim_after_s)
+
+    def test_a_start_that_is_answered_in_time_is_not_stored(self):
+        world = self.world
+        stored = []
+        write = world.store.write
+
+        def record_write(number, effect):
+            if effect.fleet is not None:
+                stored.append(effect.fleet.late_starts)
+            write(number, effect)
+
+        world.store.write = record_write
+        for number in range(5):
+            world.submit(f"j{number}", model.Step(2, CORE, 0.4))
+            world.run(0.5)
+        self.assertEqual([], [late for late in stored if late])
+
     def test_a_start_that_arrived_though_its_answer_was_lost_keeps_no_end(
         self,
     ):
