Keep an end whose start is still under way at an agent

A run may end before the answer to its start is in. If the agent that has made the call then fails, this daemon makes the call again, and that one may be late; but the end was acknowledged by then, and after a crash of its worker the late start would run the task again (TWICE; found by reading, not seen in a run).

Cause: an answer for a run that is no longer there was dropped. The end is now kept until the answer is in: a plain one settles it, one to a second call keeps it until that call can no longer arrive. Not with a ticket, as before.

test_a_call_that_is_made_again_after_the_end_keeps_it failed before; test_an_answer_after_the_end_settles_it holds on both.

--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -60,7 +60,9 @@
         # Another call with this order may have been carried out before.
         event.result = events.CallResult.UNKNOWN
     if run is None:
+        latestarts.record_answer_after_end(st, owner, event)
         return
+    run.is_start_pending = False
     is_unknown = event.result == events.CallResult.UNKNOWN
     if is_unknown or event.is_repeated:
         leases.add_unanswered_start(st, worker, run)
@@ -124,9 +126,8 @@
     """
     if run.phase != state.Phase.STARTING or run.is_start_answered:
         return False
-    group = owner.groups.get(run.task_id.rpartition(".")[0])
-    is_known = group is not None and not group.needs_ticket
-    return is_known and st.now - run.started_at > USUAL_ANSWER_S
+    is_late = st.now - run.started_at > USUAL_ANSWER_S
+    return is_late and latestarts.outlasts_incarnation(owner, run)
 
 
 def _handle_unanswered_start(
--- a/packages/core/mimosaridge_core/jobs/latestarts.py
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -16,6 +16,7 @@
 """
 
 from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import events
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import records
@@ -110,14 +111,46 @@
         del owner.late_starts[run.task_id]
 
 
-def record_listed_end(owner: state.Owner, run: state.Run) -> None:
-    """Records that a run has ended, so that it never starts again."""
+def outlasts_incarnation(owner: state.Owner, run: state.Run) -> bool:
+    """Returns whether the next incarnation may carry out a run's start.
+
+    It refuses a ticket for the former one.
+    """
+    group = owner.groups.get(run.task_id.rpartition(".")[0])
+    return group is not None and not group.needs_ticket
+
+
+def record_listed_end(
+    st: state.State, owner: state.Owner, run: state.Run, out: list
+) -> None:
+    """Records that a run has ended, so that it never starts again.
+
+    If its agent fails, the call that goes on is made once more, and that one
+    may be carried out late.
+    """
     forget_arrived(owner, run)
+    if run.is_start_pending and outlasts_incarnation(owner, run):
+        record(st, owner, run, run.started_at, out)
     late = owner.late_starts.get(run.task_id)
     if late is not None and late.run == run.run:
         late.refused_by = None
 
 
+def record_answer_after_end(
+    st: state.State, owner: state.Owner, event: events.StartAnswered
+) -> None:
+    """Records the answer to a start whose run its worker lists as ended."""
+    late = owner.late_starts.get(event.task_id)
+    if late is None or late.run != event.run:
+        return
+    if event.is_repeated:
+        late.is_only = False
+        late.until = st.now + tunables.LATE_CALL_S
+        late.until_wall = round(st.wall + tunables.LATE_CALL_S, 1)
+    elif late.is_only:
+        del owner.late_starts[event.task_id]
+
+
 def has_unanswered(owner: state.Owner, run: state.Run) -> bool:
     """Returns whether a call to start a run has got no answer."""
     late = owner.late_starts.get(run.task_id)
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -285,7 +285,7 @@
 ) -> None:
     """Records the end of a run whose start may still have no answer."""
     if evidence == EndEvidence.LISTED:
-        latestarts.record_listed_end(owner, run)
+        latestarts.record_listed_end(st, owner, run, out)
         return
     refused_by = worker.born
     if evidence == EndEvidence.NOT_LISTED and not run.why_stopped:
--- a/packages/core/mimosaridge_core/jobs/starting.py
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -111,6 +111,7 @@
     ticket = group.tickets.get(run.worker_id)
     start_before_ms = leases.clock_ms(st, worker) + tunables.START_WINDOW_MS
     leases.extend_by_start(st, worker)
+    run.is_start_pending = True
     out.append(
         effects.Start(
             run.worker_id,
--- a/packages/core/mimosaridge_core/jobs/state.py
+++ b/packages/core/mimosaridge_core/jobs/state.py
@@ -46,6 +46,8 @@
         percent_at: When the progress last changed.
         why_stopped: Reason for the stop; empty if none was sent.
         is_listed: Whether its worker has listed it as running.
+        is_start_pending: Whether the latest call to start it goes on; if its
+            agent fails, this daemon makes the call again.
         is_start_answered: Whether the start was answered; if not, it may be
             carried out late.
         is_unanswered: Whether the latest call to start it got no answer.
@@ -77,6 +79,7 @@
     percent_at: float = 0.0
     why_stopped: str = ""
     is_listed: bool = False
+    is_start_pending: bool = False
     is_start_answered: bool = False
     is_unanswered: bool = False
     is_repeated: bool = False
--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -1,5 +1,7 @@
 """Starts that are carried out after their worker has restarted."""
 
+import dataclasses
+
 import testtools
 
 from mimosaridge_core import resources
@@ -399,6 +401,39 @@
             world.run(2.0)
             self.assertEqual([], world.violations, claim_after_s)
 
+    def _end_before_the_answer(self, is_repeated):
+        """Runs a task to its end while its agent holds the answer back."""
+        world, deliver, held_back = self.world, self.world.deliver, []
+
+        def hold_back(number, event):
+            if isinstance(event, events.StartAnswered):
+                held_back.append(event)
+            else:
+                deliver(number, event)
+
+        world.deliver = hold_back
+        world.submit("j1", model.Step(1, CORE, 0.1))
+        world.run(0.6)
+        world.deliver = deliver
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        (answer,) = held_back
+        answer = dataclasses.replace(
+            answer, now=world.now, is_repeated=is_repeated
+        )
+        if is_repeated:
+            answer.result = events.CallResult.UNKNOWN
+        world.deliver(0, answer)
+        world.run(1.0)
+        return answer.worker_id
+
+    def test_a_call_that_is_made_again_after_the_end_keeps_it(self):
+        worker_id = self._end_before_the_answer(is_repeated=True)
+        self.assertEqual({"j1.0.0.0"}, self._kept(worker_id))
+
+    def test_an_answer_after_the_end_settles_it(self):
+        worker_id = self._end_before_the_answer(is_repeated=False)
+        self.assertEqual(set(), self._kept(worker_id))
+
     def test_a_start_that_is_answered_in_time_is_not_stored(self):
         world = self.world
         stored = []
