--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -60,7 +60,8 @@
         # Another call with this order may have been carried out before.
         event.result = events.CallResult.UNKNOWN
     if run is None:
-        latestarts.record_answer_after_end(st, owner, event)
+        if owner is not None:
+            latestarts.record_answer_after_end(st, owner, event)
         return
     run.is_start_pending = False
     is_unknown = event.result == events.CallResult.UNKNOWN
