--- a/packages/core/mimosaridge_core/jobs/latestarts.py
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -23,6 +23,7 @@
 from mimosaridge_core.jobs import settings
 from mimosaridge_core.jobs import state
 from mimosaridge_core.jobs import tunables
+from mimosaridge_core.jobs import work
 
 # Most calls without an answer for one run, which is stopped then.
 MAX_UNANSWERED = 6
@@ -186,13 +187,13 @@
     settled = [
         task_id
         for task_id, late in owner.late_starts.items()
-        if late.until < st.now and _is_settled(st, owner, late)
+        if late.until < st.now and _is_run_known(st, owner, late)
     ]
     for task_id in settled:
         del owner.late_starts[task_id]
 
 
-def _is_settled(
+def _is_run_known(
     st: state.State, owner: state.Owner, late: records.LateStart
 ) -> bool:
     """Returns whether a run that a start has begun at last is known or over.
@@ -206,35 +207,30 @@
     return st.now > late.until + leases.start_s(st)
 
 
-def unsettled_tasks(st: state.State, owner: state.Owner) -> set[str]:
-    """Returns the tasks that a late start may run once more after an end.
+def is_end_settled(
+    st: state.State, owner: state.Owner, row: model.EndReport
+) -> bool:
+    """Returns whether no late start can run a task once more after an end.
 
     The end of one member of a gang stands for those of all members. Tasks that
     last start again however they end, and copies may follow each other. A late
     start of a queue with advice carries a ticket for the former incarnation,
     which the next one refuses.
     """
-    unsettled = set()
-    for task_id, late in owner.late_starts.items():
-        entry = st.table.get(task_id.partition(".")[0])
-        if entry is None or late.until < st.now:
-            continue
-        step_key, _, _ = task_id.rpartition(".")
-        step = _step_of(entry.job, step_key)
-        if step is None or step.standing or step.speculative:
-            continue
-        if _needs_ticket(st, entry.job):
-            continue
-        unsettled.add(task_id)
-        if step.gang:
-            unsettled.update(f"{step_key}.{i}" for i in range(step.tasks))
-    return unsettled
-
-
-def _step_of(job: model.Job, step_key: str) -> model.Step | None:
-    """Returns the step "JOB.REPETITION.STEP" of a job; None if it has none."""
-    number = int(step_key.rpartition(".")[2])
-    return job.steps[number] if number < len(job.steps) else None
+    if not owner.late_starts or row.how not in FINAL_OUTCOMES:
+        return True
+    location = work.locate_task(st, row.task_id)
+    if location is None:
+        return True
+    entry, _, number, _ = location
+    step = entry.job.steps[number]
+    if step.standing or step.speculative or _needs_ticket(st, entry.job):
+        return True
+    tasks = [row.task_id]
+    if step.gang:
+        step_key, _, _ = row.task_id.rpartition(".")
+        tasks = [f"{step_key}.{index}" for index in range(step.tasks)]
+    return not any(_may_arrive(st, owner, task) for task in tasks)
 
 
 def _needs_ticket(st: state.State, job: model.Job) -> bool:
@@ -242,6 +238,11 @@
     return queue is not None and queue.advice is not None
 
 
+def _may_arrive(st: state.State, owner: state.Owner, task_id: str) -> bool:
+    late = owner.late_starts.get(task_id)
+    return late is not None and st.now <= late.until
+
+
 def log_if_kept(
     st: state.State,
     owner: state.Owner,
@@ -250,9 +251,7 @@
     out: list,
 ) -> None:
     """Logs an end that its worker keeps until no late start can follow it."""
-    if row.how not in FINAL_OUTCOMES:
-        return
-    if row.task_id in unsettled_tasks(st, owner):
+    if not is_end_settled(st, owner, row):
         effects.log_decision(
             out,
             "end-kept",
@@ -264,19 +263,24 @@
         )
 
 
-def last_settled(worker: state.Worker, unsettled: set[str], last: int) -> int:
+def last_settled(
+    st: state.State, owner: state.Owner, worker: state.Worker, last: int
+) -> int:
     """Returns the last end, up to a number, that a worker may forget.
 
     Args:
+        st: The state.
+        owner: The owner.
         worker: The worker.
-        unsettled: Tasks that a late start may run once more.
         last: Number of the last end whose result is stored.
     """
     if len(worker.kept_ends) > MAX_KEPT_ENDS:
         return last
     for number, row in worker.kept_ends.items():
-        if row.task_id in unsettled and row.how in FINAL_OUTCOMES:
-            return min(last, number - 1)
+        if number > last:
+            break
+        if not is_end_settled(st, owner, row):
+            return number - 1
     return last
 
 
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -86,7 +86,7 @@
 
 def mark_begun(st: state.State, owner: state.Owner, task_id: str) -> None:
     """Records that a run of a task has begun on its worker."""
-    location = _locate_task(st, task_id)
+    location = work.locate_task(st, task_id)
     if location is not None and location[0].job.job_id in owner.jobs:
         work.mark_started(st, owner, location[0])
 
@@ -127,7 +127,7 @@
 
     Until the job of the run is known, it may occupy the whole worker.
     """
-    location = _locate_task(st, run.task_id)
+    location = work.locate_task(st, run.task_id)
     if location is not None:
         entry, _, number, _ = location
         run.team = entry.job.team
@@ -155,7 +155,7 @@
     out: list,
 ) -> None:
     """Adds an adopted run to its group, or stops it if it is not needed."""
-    location = _locate_task(st, run.task_id)
+    location = work.locate_task(st, run.task_id)
     is_needed = False
     if location is not None and location[0].job.job_id in owner.jobs:
         entry, repetition, number, index = location
@@ -200,20 +200,6 @@
     )
 
 
-def _locate_task(
-    st: state.State, task_id: str
-) -> tuple[state.JobEntry, int, int, int] | None:
-    """Returns a task's job, repetition, step and index; None if unknown."""
-    try:
-        job_id, repetition, number, index = model.parse_task_id(task_id)
-    except ValueError:
-        return None
-    entry = st.table.get(job_id)
-    if entry is None or number >= len(entry.job.steps):
-        return None
-    return entry, repetition, number, index
-
-
 def handle_end(
     st: state.State,
     owner: state.Owner,
@@ -238,7 +224,7 @@
         why_stopped=run.why_stopped if run else "",
         evidence=evidence.value,
     )
-    location = _locate_task(st, row.task_id)
+    location = work.locate_task(st, row.task_id)
     if location is None:
         if evidence == EndEvidence.LISTED:
             unknownends.keep(st, owner, worker, row, out)
--- a/packages/core/mimosaridge_core/jobs/work.py
+++ b/packages/core/mimosaridge_core/jobs/work.py
@@ -25,6 +25,20 @@
     return entry.progress.steps.setdefault(key, model.StepProgress())
 
 
+def locate_task(
+    st: state.State, task_id: str
+) -> tuple[state.JobEntry, int, int, int] | None:
+    """Returns a task's job, repetition, step and index; None if unknown."""
+    try:
+        job_id, repetition, number, index = model.parse_task_id(task_id)
+    except ValueError:
+        return None
+    entry = st.table.get(job_id)
+    if entry is None or number >= len(entry.job.steps):
+        return None
+    return entry, repetition, number, index
+
+
 def is_step_done(entry: state.JobEntry, repetition: int, number: int) -> bool:
     """Returns whether all tasks of a step have succeeded."""
     step = entry.job.steps[number]
--- a/packages/core/mimosaridge_core/jobs/writing.py
+++ b/packages/core/mimosaridge_core/jobs/writing.py
@@ -158,13 +158,12 @@
         later: Jobs with results that this write does not store.
     """
     ends = {}
-    unsettled = latestarts.unsettled_tasks(st, owner)
     for worker_id, worker in owner.workers.items():
         if worker.processed_end <= worker.acknowledged_end:
             continue
         last = unknownends.last_known(st, owner, worker)
         last = _last_before(worker, later, last)
-        last = latestarts.last_settled(worker, unsettled, last)
+        last = latestarts.last_settled(st, owner, worker, last)
         if last > worker.acknowledged_end:
             ends[worker_id] = (worker.incarnation, last)
     return ends
