--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -383,23 +383,30 @@
             world.run(2.0)
             self.assertEqual([], world.violations, claim_after_s)
 
+    def _take_over_after_a_lost_start(self, claim_after_s):
+        """Lets another daemon take over; the start then follows its end."""
+        self.world = jobclusters.Cluster(daemons=2, workers=2)
+        world = self.world
+        world.claim(0)
+        world.run(1.0)
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 0.5))
+        world.run(claim_after_s)
+        world.claim(1, is_former_gone=True)
+        world.run(6.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self._crash(lost[0])
+        world.run(0.5)
+        self._return(lost[0])
+        world.run(2.0)
+        self.assertEqual([], world.violations, claim_after_s)
+
     def test_a_new_owner_knows_a_start_that_has_not_timed_out(self):
         for claim_after_s in (0.3, 0.5, 0.7):
-            self.world = jobclusters.Cluster(daemons=2, workers=2)
-            world = self.world
-            world.claim(0)
-            world.run(1.0)
-            lost = self._lose_starts()
-            world.submit("j1", model.Step(1, CORE, 0.5))
-            world.run(claim_after_s)
-            world.claim(1, is_former_gone=True)
-            world.run(6.0)
-            self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
-            self._crash(lost[0])
-            world.run(0.5)
-            self._return(lost[0])
-            world.run(2.0)
-            self.assertEqual([], world.violations, claim_after_s)
+            self._take_over_after_a_lost_start(claim_after_s)
+
+    def test_a_new_owner_knows_a_start_that_was_just_sent(self):
+        self._take_over_after_a_lost_start(0.04)
 
     def _end_before_the_answer(self, is_repeated):
         """Runs a task to its end while its agent holds the answer back."""
