Count a run that is sent to the next incarnation as repeated

A start got no answer, its run was stopped as its worker drained, the worker restarted, and the task was sent to the next incarnation as the same run. The answer was taken for that of the only call, since the run was new to the owner, so the late start was forgotten and the end acknowledged; after another crash the first call ran the task again (TWICE).

A run counts as repeated from its start if a call for it may still arrive. test_a_run_that_is_sent_to_the_next_incarnation_keeps_its_end failed before with TWICE after done.

--- a/packages/core/mimosaridge_core/jobs/latestarts.py
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -154,8 +154,13 @@
 
 def has_unanswered(owner: state.Owner, run: state.Run) -> bool:
     """Returns whether a call to start a run has got no answer."""
-    late = owner.late_starts.get(run.task_id)
-    return late is not None and late.run == run.run
+    return has_call(owner, run.task_id, run.run)
+
+
+def has_call(owner: state.Owner, task_id: str, run: int) -> bool:
+    """Returns whether a call to start this run of a task may still arrive."""
+    late = owner.late_starts.get(task_id)
+    return late is not None and late.run == run
 
 
 def may_repeat(owner: state.Owner, run: state.Run) -> bool:
--- a/packages/core/mimosaridge_core/jobs/starting.py
+++ b/packages/core/mimosaridge_core/jobs/starting.py
@@ -1,6 +1,7 @@
 """Starts runs of tasks on workers."""
 
 from mimosaridge_core.jobs import effects
+from mimosaridge_core.jobs import latestarts
 from mimosaridge_core.jobs import leases
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import runs
@@ -44,6 +45,7 @@
         state.Phase.STARTING,
         st.now,
         saved=saved,
+        is_repeated=latestarts.has_call(owner, task, number),
         is_timed=not saved,
         percent_at=st.now,
         target_ms=group.step.target_ms,
--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -457,6 +457,22 @@
             world.run(0.5)
         self.assertEqual([], [late for late in stored if late])
 
+    def test_a_run_that_is_sent_to_the_next_incarnation_keeps_its_end(self):
+        world = self.world
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 0.5))
+        world.run(0.1)
+        world.drain_worker(lost[0].worker_id)
+        world.run(2.0)
+        world.restart_worker(lost[0].worker_id)
+        world.run(3.0)
+        self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
+        self._crash(lost[0])
+        world.run(0.5)
+        self._return(lost[0])
+        world.run(2.0)
+        self.assertEqual([], world.violations)
+
     def test_a_start_that_arrived_though_its_answer_was_lost_keeps_no_end(
         self,
     ):
