Tell peers of starts as they are sent, so that the next owner knows the last

A start without a ticket or an answer reached the fleet after 0.05 to 0.2 s. An owner that was killed before left one that nobody knew: the next owner started the task as another run, which ended as done, and after a crash of the first worker the late start ran it again (TWICE; known red test_a_new_owner_knows_a_start_that_was_just_sent).

The owner now tells its peers of such starts in the round in which it sends them, and of their answers. They keep those of its last 0.5 s that have none, and the next owner treats them as those in the fleet, until their worker lists the run. Starts with tickets expire with the incarnation and cost no message; nor do those of fleets too large for a mesh, where the last 0.2 s stay open. A write before each start would cover these, at 300 writes a second.

--- a/packages/core/mimosaridge_core/jobs/events.py
+++ b/packages/core/mimosaridge_core/jobs/events.py
@@ -144,6 +144,9 @@
         evidence: What `is_former_gone` rests on, or else why this daemon
             claimed; for the log.
         informed_at: As in `DaemonsInformed`; 0 if that is still to come.
+        sent_starts: Starts that the former owner sent just before its end, by
+            task id: the worker, the number of the run, and the steady time
+            until which it may be carried out.
     """
 
     now: float
@@ -153,6 +156,9 @@
     former_claimed_at: float = 0.0
     evidence: str = ""
     informed_at: float = 0.0
+    sent_starts: dict[str, tuple[str, int, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/mimosaridge_core/jobs/latestarts.py
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -105,11 +105,15 @@
 
 def forget_arrived(owner: state.Owner, run: state.Run) -> None:
     """Forgets the only call to start a run that was answered or is listed."""
-    late = owner.late_starts.get(run.task_id)
-    if late is None or late.run != run.run:
-        return
-    if late.is_only and not run.is_repeated:
-        del owner.late_starts[run.task_id]
+    if not run.is_repeated:
+        forget_listed(owner, run.task_id, run.run)
+
+
+def forget_listed(owner: state.Owner, task_id: str, run: int) -> None:
+    """Forgets the call of a former owner for a run that is listed."""
+    late = owner.late_starts.get(task_id)
+    if late is not None and late.run == run and late.is_only:
+        del owner.late_starts[task_id]
 
 
 def outlasts_incarnation(owner: state.Owner, run: state.Run) -> bool:
@@ -179,6 +183,30 @@
         )
 
 
+def restore_sent(
+    st: state.State,
+    owner: state.Owner,
+    sent_starts: dict[str, tuple[str, int, float]],
+) -> None:
+    """Records what a former owner sent just before its end.
+
+    Most of these starts were answered, and their workers list the runs. Those
+    that the fleet has are not the only calls for their runs.
+    """
+    for task_id, (worker_id, run, until) in sent_starts.items():
+        if until <= st.now or task_id in owner.late_starts:
+            continue
+        owner.late_starts[task_id] = records.LateStart(
+            worker_id,
+            run,
+            until,
+            round(st.wall + until - st.now, 1),
+            unanswered=1,
+            is_only=True,
+            refused_by=NO_INCARNATION,
+        )
+
+
 def stored(owner: state.Owner) -> dict[str, tuple[str, int, float]]:
     """Returns what the fleet stores of these starts, by task id."""
     return {
--- a/packages/core/mimosaridge_core/jobs/ownership.py
+++ b/packages/core/mimosaridge_core/jobs/ownership.py
@@ -29,6 +29,7 @@
     owner.unheld_jobs = dict(event.fleet.closed)
     owner.routes = dict(event.fleet.routes)
     latestarts.restore(st, owner, event.fleet)
+    latestarts.restore_sent(st, owner, event.sent_starts)
     owner.open_to_former = (
         frozenset(event.fleet.workers) - event.fleet.closed.keys()
     )
@@ -39,6 +40,7 @@
         jobs=len(st.table),
         workers=len(st.entries),
         known_workers=len(event.fleet.workers),
+        sent_starts=len(event.sent_starts),
         is_former_gone=event.is_former_gone,
         evidence=event.evidence,
         displaced_s=round(owner.displaced_until - st.now, 2),
--- a/packages/core/mimosaridge_core/jobs/runs.py
+++ b/packages/core/mimosaridge_core/jobs/runs.py
@@ -78,6 +78,7 @@
         is_listed=True,
         pace=None,
     )
+    latestarts.forget_arrived(owner, run)
     _describe(st, worker, run)
     add(owner, worker, run)
     sharing.begin(st, worker, run)
@@ -212,6 +213,8 @@
     run = worker.runs.get((row.task_id, row.run))
     if run is not None:
         remove(owner, worker, run)
+    elif evidence == EndEvidence.LISTED:
+        latestarts.forget_listed(owner, row.task_id, row.run)
     effects.log_decision(
         out,
         "ended",
--- a/packages/daemon/mimosaridge_daemon/jobs/engine.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/engine.py
@@ -31,6 +31,7 @@
 from mimosaridge_daemon.jobs import reading
 from mimosaridge_daemon.jobs import recording
 from mimosaridge_daemon.jobs import routing
+from mimosaridge_daemon.jobs import sentstarts
 from mimosaridge_daemon.jobs import storage
 from mimosaridge_daemon.jobs import takingover
 from mimosaridge_daemon.jobs import telemetry
@@ -139,6 +140,7 @@
             self._has_preferred_peer,
         )
         self.news = news.News(self.peering)
+        self.sent_starts = sentstarts.SentStarts(self.peering)
         self.recorder = recording.Recorder(
             self.store,
             self.post,
@@ -164,7 +166,7 @@
         self.greeted_token = 0
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
             effects.Hold: self.router.give,
-            effects.Start: self.router.give,
+            effects.Start: self._start,
             effects.Stop: self.router.give,
             effects.Pace: self.router.give,
             effects.AskAdvice: self._ask_advice,
@@ -277,11 +279,14 @@
             self._check_authority()
             if self.ownership.token:
                 self._handle(events.Tick(time.monotonic(), time.time()))
+                self.sent_starts.flush()
                 self.router.flush()
                 gevent.sleep(DECISION_PAUSE_S)
 
     def _handle_next(self) -> None:
         event = self.inbox.get()
+        if isinstance(event, events.StartAnswered):
+            self.sent_starts.add_answer(event)
         # Before each event, since the process may have stood still.
         self._check_authority()
         self._handle(event)
@@ -484,6 +489,7 @@
                 self.ownership.former_claimed_at,
                 self.ownership.evidence,
                 self.ownership.informed_at,
+                self.sent_starts.last(),
             )
         )
 
@@ -492,6 +498,10 @@
         self.router.reset()
         self.post(events.OwnershipLost(time.monotonic(), token, reason))
 
+    def _start(self, order: effects.Start) -> None:
+        self.sent_starts.add(order)
+        self.router.give(order)
+
     def _write_progress(self, effect: effects.WriteProgress) -> None:
         if self.state.owner is not None:
             self.recorder.write(self.state.owner.token, effect)
@@ -545,6 +555,8 @@
             self.agent_calls.handle_orders(sender, message)
         elif isinstance(message, messages.WorkerAnswers):
             self.router.handle_answers(sender, message)
+        elif isinstance(message, messages.StartsSent):
+            self.sent_starts.record(message)
         elif isinstance(message, messages.Leaving):
             self.ownership.handle_leaving(message.token)
         elif isinstance(message, messages.JobStored):
--- a/packages/daemon/mimosaridge_daemon/jobs/messages.py
+++ b/packages/daemon/mimosaridge_daemon/jobs/messages.py
@@ -114,6 +114,19 @@
     progress: dict[str, tuple[model.Progress, int]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartsSent:
+    """Starts that the owner is about to send, and those answered since.
+
+    Attributes:
+        starts: The worker and the number of the run of each start, by task id.
+        answered: Task ids of earlier ones that were answered.
+    """
+
+    starts: dict[str, tuple[str, int]]
+    answered: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerOrders:
     """Orders of the owner for workers, each with a number; sent to an agent."""
@@ -176,6 +189,7 @@
     JobStored,
     CancelStored,
     StatesStored,
+    StartsSent,
     WorkerOrders,
     WorkerAnswers,
 )
--- a/standins/mimosaridge_fakes/jobclusters.py
+++ b/standins/mimosaridge_fakes/jobclusters.py
@@ -20,6 +20,7 @@
 from mimosaridge_core.jobs import model
 from mimosaridge_core.jobs import reducer
 from mimosaridge_core.jobs import state
+from mimosaridge_core.jobs import tunables
 from mimosaridge_fakes import jobadvice
 from mimosaridge_fakes import jobcalls
 from mimosaridge_fakes import jobchecks
@@ -31,6 +32,8 @@
 TICK_S = 0.02
 # Time after a claim until the other daemons have told its owner that they know.
 INFORMED_AFTER_S = 0.4
+# For how long daemons keep the starts of an owner that they are told of.
+LAST_S = 0.5
 CONFIGURATION_APPLY_S = jobchecks.CONFIGURATION_APPLY_S
 BACKEND = "registry"
 QUEUE = "enquiries"
@@ -67,6 +70,9 @@
         gang_timeout_s: Time after which a member of a gang that waits for the
             others ends.
         starts: All starts sent, in order.
+        sent_starts: Starts without a ticket with the times at which an owner
+            told the other daemons of them, in seconds.
+        answered: Tasks and runs whose last start was answered.
         decisions: All decisions of daemons, in order.
         done: Ids of tasks with a run that ended as done.
         acknowledged: Ids of tasks whose end as done was acknowledged.
@@ -100,6 +106,8 @@
         self.hopeless: set[str] = set()
         self.gang_timeout_s = 3.0
         self.starts: list[effects.Start] = []
+        self.sent_starts: list[tuple[float, effects.Start]] = []
+        self.answered: set[tuple[str, int]] = set()
         self.decisions: list[effects.Decision] = []
         self.done: set[str] = set()
         self.acknowledged: set[str] = set()
@@ -347,12 +355,26 @@
                 self.store.fleet,
                 is_former_gone,
                 former_claimed_at,
+                sent_starts=self._last_starts(),
             ),
         )
         self.schedule(
             INFORMED_AFTER_S, functools.partial(self._inform, number, token)
         )
 
+    def _last_starts(self) -> dict[str, tuple[str, int, float]]:
+        """Returns an owner's last starts that it has heard no answer to."""
+        since = self.sent_starts[-1][0] - LAST_S if self.sent_starts else 0.0
+        return {
+            order.task_id: (
+                order.worker_id,
+                order.run,
+                at + tunables.LATE_CALL_S,
+            )
+            for at, order in self.sent_starts
+            if at >= since and (order.task_id, order.run) not in self.answered
+        }
+
     def _inform(self, number: int, token: int) -> None:
         """Tells an owner that most daemons know of its claim, if they do."""
         knowing = set(range(len(self.daemons))) - self.frozen - self.cut_off
@@ -396,7 +418,13 @@
         self._reduce(number, event)
 
     def _reduce(self, number: int, event: object) -> None:
+        is_answer = isinstance(event, events.StartAnswered)
+        if is_answer and event.result != events.CallResult.UNKNOWN:
+            self.answered.add((event.task_id, event.run))
         for effect in reducer.reduce(self.daemons[number], event):
+            if isinstance(effect, effects.Start) and not effect.ticket:
+                self.sent_starts.append((self.now, effect))
+                self.answered.discard((effect.task_id, effect.run))
             self.execute(number, effect)
 
     def run(self, seconds: float) -> None:
