--- a/packages/core/mimosaridge_core/jobs/latestarts.py
+++ b/packages/core/mimosaridge_core/jobs/latestarts.py
@@ -12,7 +12,8 @@
 but its worker is not told to forget the end until the start can no longer
 arrive: an end is final only when no other run of the task can follow it.
 
-The fleet stores these tasks, so that a new owner knows them.
+The fleet stores these tasks, so that a new owner knows them; the starts of an
+owner's last moment it has heard from that owner itself.
 """
 
 from mimosaridge_core.jobs import effects
@@ -110,7 +111,7 @@
 
 
 def forget_listed(owner: state.Owner, task_id: str, run: int) -> None:
-    """Forgets the call of a former owner for a run that is listed."""
+    """Forgets the only call to start a run that its worker lists."""
     late = owner.late_starts.get(task_id)
     if late is not None and late.run == run and late.is_only:
         del owner.late_starts[task_id]
@@ -188,10 +189,15 @@
     owner: state.Owner,
     sent_starts: dict[str, tuple[str, int, float]],
 ) -> None:
-    """Records what a former owner sent just before its end.
+    """Records what a former owner sent just before its end, without an answer.
 
-    Most of these starts were answered, and their workers list the runs. Those
-    that the fleet has are not the only calls for their runs.
+    A start that the fleet has is known to have been sent more than once or to
+    be overdue, and stays as it is.
+
+    Args:
+        st: The state.
+        owner: The owner.
+        sent_starts: As in `events.OwnershipClaimed`.
     """
     for task_id, (worker_id, run, until) in sent_starts.items():
         if until <= st.now or task_id in owner.late_starts:
