--- a/packages/core/mimosaridge_core/jobs/answers.py
+++ b/packages/core/mimosaridge_core/jobs/answers.py
@@ -123,9 +123,11 @@
 def _is_overdue(st: state.State, owner: state.Owner, run: state.Run) -> bool:
     """Returns whether the next owner should know that a start has no answer.
 
-    With a ticket the start expires with the incarnation of its worker.
+    With a ticket the start expires with the incarnation of its worker. A
+    repeated start is known, and its latest call may prove not to be sent.
     """
-    if run.phase != state.Phase.STARTING or run.is_start_answered:
+    is_starting = run.phase == state.Phase.STARTING
+    if not is_starting or run.is_start_answered or run.is_repeated:
         return False
     is_late = st.now - run.started_at > USUAL_ANSWER_S
     return is_late and latestarts.outlasts_incarnation(owner, run)
--- a/tests/core/jobs/test_late_starts.py
+++ b/tests/core/jobs/test_late_starts.py
@@ -124,6 +124,14 @@
         order.start_before_ms += 12_000
         world.calls.start_run(order, world.workers[order.worker_id])
 
+    def _assert_late_start_breaks_nothing(self, order):
+        """Crashes the worker of a start, which is its first call then."""
+        self._crash(order)
+        self.world.run(0.5)
+        self._return(order)
+        self.world.run(2.0)
+        self.assertEqual([], self.world.violations)
+
     def _running(self):
         return [
             run.task_id
@@ -289,11 +297,7 @@
         world.submit("j1", model.Step(1, CORE, 0.5))
         world.run(3.0)
         self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
-        self._crash(lost[0])
-        world.run(0.5)
-        self._return(lost[0])
-        world.run(2.0)
-        self.assertEqual([], world.violations)
+        self._assert_late_start_breaks_nothing(lost[0])
 
 
 class UnsettledEndTest(LostStartTestCase):
@@ -344,11 +348,7 @@
         world.submit("j1", first, model.Step(2, CORE, 0.3, after=(0,)))
         world.run(3.0)
         self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
-        self._crash(lost[0])
-        world.run(0.5)
-        self._return(lost[0])
-        world.run(2.0)
-        self.assertEqual([], world.violations)
+        self._assert_late_start_breaks_nothing(lost[0])
 
     def test_a_late_start_does_not_run_again_a_member_of_a_done_gang(self):
         world = self.world
@@ -358,11 +358,7 @@
         self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
         ended = self._kept("w0") | self._kept("w1")
         self.assertEqual({"j1.0.0.0", "j1.0.0.1"}, ended)
-        self._crash(lost[0])
-        world.run(0.5)
-        self._return(lost[0])
-        world.run(2.0)
-        self.assertEqual([], world.violations)
+        self._assert_late_start_breaks_nothing(lost[0])
 
     def test_a_new_owner_does_not_acknowledge_it_either(self):
         for claim_after_s in (0.5, 1.0, 2.5):
@@ -377,11 +373,7 @@
             world.claim(1, is_former_gone=True)
             world.run(4.0)
             self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
-            self._crash(lost[0])
-            world.run(0.5)
-            self._return(lost[0])
-            world.run(2.0)
-            self.assertEqual([], world.violations, claim_after_s)
+            self._assert_late_start_breaks_nothing(lost[0])
 
     def _take_over_after_a_lost_start(self, claim_after_s):
         """Lets another daemon take over; the start then follows its end."""
@@ -395,11 +387,7 @@
         world.claim(1, is_former_gone=True)
         world.run(6.0)
         self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
-        self._crash(lost[0])
-        world.run(0.5)
-        self._return(lost[0])
-        world.run(2.0)
-        self.assertEqual([], world.violations, claim_after_s)
+        self._assert_late_start_breaks_nothing(lost[0])
 
     def test_a_new_owner_knows_a_start_that_has_not_timed_out(self):
         for claim_after_s in (0.3, 0.5, 0.7):
@@ -441,6 +429,36 @@
         worker_id = self._end_before_the_answer(is_repeated=False)
         self.assertEqual(set(), self._kept(worker_id))
 
+    def test_a_repetition_that_is_not_sent_does_not_lengthen_the_wait(self):
+        world, sent = self.world, []
+        lost = self._lose_starts()
+        world.submit("j1", model.Step(1, CORE, 60.0))
+        world.run(0.06)
+        sent_at = world.now
+        execute = world.execute
+
+        def hold_back(number, effect):
+            if isinstance(effect, effects.Start):
+                sent.append(effect)
+            else:
+                execute(number, effect)
+
+        world.execute = hold_back
+        world.run(jobcalls.CALL_TIMEOUT_S + 0.4)
+        self.assertEqual([lost[0].run], [order.run for order in sent])
+        answer = events.StartAnswered(
+            world.now,
+            lost[0].worker_id,
+            lost[0].task_id,
+            lost[0].run,
+            lost[0].token,
+            lost[0].incarnation,
+            events.CallResult.UNHEALTHY,
+        )
+        world.deliver(0, answer)
+        late = world.daemons[0].owner.late_starts[lost[0].task_id]
+        self.assertLessEqual(late.until, sent_at + tunables.LATE_CALL_S)
+
     def test_a_start_that_is_answered_in_time_is_not_stored(self):
         world = self.world
         stored = []
@@ -467,11 +485,7 @@
         world.restart_worker(lost[0].worker_id)
         world.run(3.0)
         self.assertEqual(model.JobState.COMPLETED, world.state_of("j1"))
-        self._crash(lost[0])
-        world.run(0.5)
-        self._return(lost[0])
-        world.run(2.0)
-        self.assertEqual([], world.violations)
+        self._assert_late_start_breaks_nothing(lost[0])
 
     def test_a_start_that_arrived_though_its_answer_was_lost_keeps_no_end(
         self,
